Start the node: call types, configuration text, msgpack wire, filter chain, budget ledger, routing

The whole path needs one shared vocabulary before any role runs: the call and answer as they cross a hop (call), the configuration text with line-numbered problems (callgraph, parsed by ini), node-to-node frames over one multiplexed TCP connection per peer (wire, msgpack), the filter chain for the local target (deadline, drain, dedup, admission by class), the per-hop retry budget ledger (budget) and instance choice (route).

--- /dev/null
+++ b/call/call.go
@@ -0,0 +1,78 @@
+package call
+
+import (
+	"time"
+)
+
+// Class says how a call ranks when a target sheds load.
+type Class string
+
+// Status is the outcome of one call as its caller learns it.
+type Status string
+
+// RequestID names one caller's request across all the hops it crosses.
+type RequestID string
+
+// Key is an idempotency key: two calls with the same key are one action.
+type Key string
+
+const (
+	// Critical calls (approvals, publications, find logs, trackable awards,
+	// badge transfers) are refused only after every sheddable call is.
+	Critical Class = "critical"
+	// Sheddable calls (browsing and ranking reads) are refused first.
+	Sheddable Class = "sheddable"
+)
+
+const (
+	// OK means the call ran and Body is its whole answer.
+	OK Status = "ok"
+	// NotRun means no part of the call ran anywhere; it is safe to send again
+	// after RetryAfter.
+	NotRun Status = "not_run"
+	// Failed means the call ran and its target answered with an error.
+	Failed Status = "failed"
+	// Unknown means the call may have run, in part or whole; a caller must
+	// not send a non-idempotent call again.
+	Unknown Status = "unknown"
+)
+
+// Request is one call as it crosses a hop, caller to node or node to node.
+type Request struct {
+	ID        RequestID     `msgpack:"id"`
+	Service   string        `msgpack:"service"`
+	Operation string        `msgpack:"operation"`
+	Key       Key           `msgpack:"key,omitempty"`
+	Remaining time.Duration `msgpack:"remaining"` // time left to the deadline when sent
+	Budget    int           `msgpack:"budget"`    // retries the whole request may still spend
+	Body      []byte        `msgpack:"body,omitempty"`
+}
+
+// Answer is what comes back for a Request.
+type Answer struct {
+	ID          RequestID     `msgpack:"id"`
+	Status      Status        `msgpack:"status"`
+	Reason      string        `msgpack:"reason,omitempty"`
+	RetryAfter  time.Duration `msgpack:"retry_after,omitempty"`
+	RetriesUsed int           `msgpack:"retries_used"` // retries spent below this hop
+	Leaving     bool          `msgpack:"leaving,omitempty"`
+	Body        []byte        `msgpack:"body,omitempty"`
+}
+
+// Refuse returns a NotRun answer for r that tells the caller when to come back.
+func Refuse(r Request, reason string, after time.Duration) Answer {
+	return Answer{ID: r.ID, Status: NotRun, Reason: reason, RetryAfter: after}
+}
+
+// Retryable reports whether a caller may send the same call again: only when
+// nothing of it ran, or when the operation is idempotent and it did not
+// finish.
+func (a Answer) Retryable(idempotent bool) bool {
+	switch a.Status {
+	case NotRun:
+		return true
+	case Unknown:
+		return idempotent
+	}
+	return false
+}
--- /dev/null
+++ b/filter/drain.go
@@ -0,0 +1,28 @@
+package filter
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/oatpin/oatpin/call"
+)
+
+// drainRetryAfter tells a caller refused by a leaving node when to come back;
+// by then its router has moved to another instance.
+const drainRetryAfter = time.Second
+
+// Drain refuses new calls once leaving is set, marking the answer Leaving so
+// that the caller's router stops picking this instance.
+func Drain(leaving *atomic.Bool) Filter {
+	return func(next Handler) Handler {
+		return HandlerFunc(func(ctx context.Context, c *Call) call.Answer {
+			if leaving.Load() {
+				a := call.Refuse(*c.Request, "instance leaving", drainRetryAfter)
+				a.Leaving = true
+				return a
+			}
+			return next.Serve(ctx, c)
+		})
+	}
+}
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// watchWait is how long one watch call waits at the platform; the
+	// platform counts a waiting watch as one call.
+	watchWait = 20 * time.Second
+	// watchBackoff is the pause after the platform failed or refused.
+	watchBackoff = time.Second
+)
+
+// apply puts g in force if it is newer than the text in force. A node that
+// paused and wakes holding an older text can only move forward: the version
+// is compared and swapped in one step.
+func (n *Node) apply(g *callgraph.Graph) bool {
+	for {
+		cur := n.graph.Load()
+		if cur != nil && g.Version <= cur.Version {
+			return false
+		}
+		if n.graph.CompareAndSwap(cur, g) {
+			break
+		}
+	}
+	n.table.SetGraph(g)
+	if s, _, ok := g.Instance(n.cfg.Settings.Instance); ok {
+		n.admission.SetSlots(s.Slots)
+	}
+	n.stats.configApplied()
+	n.log.WithField("version", g.Version).Info("config_applied")
+	return true
+}
+
+// watchConfig is the controller that keeps the newest text in force: it
+// long-polls the platform, and goes on serving with the text it has while
+// the platform is down.
+func (n *Node) watchConfig() {
+	down := false
+	for {
+		select {
+		case <-n.stop:
+			return
+		default:
+		}
+		err := n.pollPlatform()
+		if err != nil {
+			if !down {
+				n.log.WithError(err).Warn("platform_unreachable")
+			}
+			down = true
+			select {
+			case <-n.stop:
+				return
+			case <-time.After(watchBackoff):
+			}
+			continue
+		}
+		if down {
+			n.log.Info("platform_reachable")
+		}
+		down = false
+	}
+}
+
+func (n *Node) pollPlatform() error {
+	ctx, cancel := context.WithTimeout(context.Background(), watchWait+5*time.Second)
+	defer cancel()
+	url := n.cfg.Settings.Platform + "/v1/config?after=" + strconv.FormatUint(n.version(), 10) + "&wait=" + watchWait.String()
+	return n.fetchConfig(ctx, url)
+}
+
+// fetchConfig reads a text from url (the platform or a peer's node) and
+// applies it if newer.
+func (n *Node) fetchConfig(ctx context.Context, url string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := n.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return nil
+	default:
+		return eris.Errorf("config from %s: %s", url, resp.Status)
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return err
+	}
+	g, err := callgraph.Parse(text)
+	if err != nil {
+		return eris.Wrapf(err, "config from %s", url)
+	}
+	n.apply(g)
+	return nil
+}
+
+// onPeerVersion learns from an answer that a peer holds a newer text and
+// fetches it from that peer: this spreads a text while the platform is
+// down for late joiners.
+func (n *Node) onPeerVersion(peer string, v uint64) {
+	if v <= n.version() || !n.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	g := n.graph.Load()
+	if g == nil {
+		n.fetching.Store(false)
+		return
+	}
+	for _, s := range g.Services {
+		for _, in := range s.Instances {
+			if in.Peer == peer {
+				go n.fetchFromPeer(in.HTTP)
+				return
+			}
+		}
+	}
+	n.fetching.Store(false)
+}
+
+func (n *Node) fetchFromPeer(httpAddr string) {
+	defer n.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if err := n.fetchConfig(ctx, "http://"+httpAddr+"/v1/config"); err != nil {
+		n.log.WithFields(log.Fields{"peer": httpAddr}).WithError(err).Warn("peer_config_failed")
+	}
+}
--- /dev/null
+++ b/node/http.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/oatpin/oatpin/budget"
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
+)
+
+const (
+	// minRetryAfter is the least come-back time a refusal names.
+	minRetryAfter = 50 * time.Millisecond
+	// headerRetryAfterMs gives Retry-After to the millisecond.
+	headerRetryAfterMs = "Oatpin-Retry-After-Ms"
+	maxBody            = 1 << 20
+)
+
+func (n *Node) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/call/{service}/{operation}", n.handleCall)
+	mux.HandleFunc("GET /v1/config", n.handleConfig)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.stats.set.WritePrometheus(w) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if n.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// handleCall serves a call from a caller (entry) or from the local target
+// (outbound, with the hop header set). Calls for this node's own service go
+// through the local chain; others are routed to a node of their service.
+func (n *Node) handleCall(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(req.Body, maxBody))
+	if err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	r := call.Request{Service: req.PathValue("service"), Operation: req.PathValue("operation"), Body: body, Budget: -1}
+	call.ReadHeaders(req.Header, &r)
+	g := n.graph.Load()
+	if g == nil {
+		writeAnswer(w, call.Refuse(r, "no configuration text in force yet", time.Second))
+		return
+	}
+	op := g.Operation(callgraph.Ref{Service: r.Service, Operation: r.Operation})
+	if op == nil {
+		http.Error(w, ErrUnknownOperation.Error()+": "+r.Service+"."+r.Operation, http.StatusNotFound)
+		return
+	}
+	hop := budget.Hop(req.Header.Get(HeaderHop))
+	if hop == "" {
+		n.entry(&r, g, op)
+	}
+	var a call.Answer
+	if hop == "" && r.Service == n.service() {
+		a = n.serveLocal(req.Context(), r)
+	} else {
+		a = n.forward(req.Context(), r, op, hop)
+	}
+	writeAnswer(w, a)
+}
+
+// entry fills what a caller left out: a request id, the operation's
+// deadline, and the text's retry budget, which a caller cannot raise.
+func (n *Node) entry(r *call.Request, g *callgraph.Graph, op *callgraph.Operation) {
+	if r.ID == "" {
+		r.ID = call.RequestID(uuid.NewString())
+	}
+	if r.Remaining <= 0 || r.Remaining > op.Deadline {
+		r.Remaining = op.Deadline
+	}
+	if r.Budget < 0 || r.Budget > g.Retries {
+		r.Budget = g.Retries
+	}
+	if !op.Idempotent && r.Key == "" {
+		r.Key = call.Key(r.ID)
+	}
+}
+
+func (n *Node) service() string {
+	g := n.graph.Load()
+	if g == nil {
+		return ""
+	}
+	s, _, _ := g.Instance(n.cfg.Settings.Instance)
+	if s == nil {
+		return ""
+	}
+	return s.Name
+}
+
+func (n *Node) handleConfig(w http.ResponseWriter, _ *http.Request) {
+	g := n.graph.Load()
+	if g == nil {
+		http.Error(w, "no text in force", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Oatpin-Config-Version", strconv.FormatUint(uint64(g.Version), 10))
+	w.Write(g.Text)
+}
+
+// writeAnswer gives the caller its answer; a refusal carries Retry-After at
+// once, never held back.
+func writeAnswer(w http.ResponseWriter, a call.Answer) {
+	h := w.Header()
+	h.Set(call.HeaderRequestID, string(a.ID))
+	h.Set(call.HeaderStatus, string(a.Status))
+	h.Set(call.HeaderRetries, strconv.Itoa(a.RetriesUsed))
+	if a.Reason != "" {
+		h.Set(call.HeaderReason, a.Reason)
+	}
+	if a.Status == call.NotRun {
+		after := max(a.RetryAfter, minRetryAfter)
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
+		h.Set(headerRetryAfterMs, strconv.FormatInt(after.Milliseconds(), 10))
+	}
+	w.WriteHeader(a.Status.HTTPCode())
+	w.Write(a.Body)
+}
+
+// retryAfter reads the come-back time of a refusal.
+func retryAfter(h http.Header) time.Duration {
+	if ms, err := strconv.ParseInt(h.Get(headerRetryAfterMs), 10, 64); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	if s, err := strconv.Atoi(h.Get("Retry-After")); err == nil {
+		return time.Duration(s) * time.Second
+	}
+	return 0
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/oatpin/oatpin/budget"
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/filter"
+	"github.com/oatpin/oatpin/route"
+	"github.com/oatpin/oatpin/settings"
+	"github.com/oatpin/oatpin/wire"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// dedupWindow is how long a non-idempotent key is remembered; longer
+	// than any deadline in the examples, so a client's late retry still
+	// finds it.
+	dedupWindow = 10 * time.Minute
+	// drainGrace is how long a stopping node keeps answering "leaving"
+	// before it stops listening, so that peers learn of it first.
+	drainGrace = 2 * time.Second
+)
+
+var (
+	// ErrNoInstance is the reason given when no instance of a service can
+	// take a call.
+	ErrNoInstance = eris.New("no instance available")
+	// ErrUnknownOperation is the reason given for a call the text does not list.
+	ErrUnknownOperation = eris.New("operation not in the configuration text")
+)
+
+type (
+	// Config is what a Node is built from.
+	Config struct {
+		Settings settings.Node
+		Graph    *callgraph.Graph // text to start with; nil to wait for the platform
+		Log      log.Interface
+		Client   *http.Client // for the local target and the platform; nil for a default
+	}
+
+	// Node is one running node.
+	Node struct {
+		cfg       Config
+		log       log.Interface
+		graph     atomic.Pointer[callgraph.Graph]
+		table     *route.Table
+		admission *filter.Admission
+		dedup     *filter.Dedup
+		ledger    *budget.Ledger
+		leaving   atomic.Bool
+		local     filter.Handler
+		peers     *peers
+		client    *http.Client
+		hops      atomic.Uint64
+		fetching  atomic.Bool // a text is being fetched from a peer
+		stats     *stats
+
+		wire     wire.Server
+		http     *http.Server
+		stop     chan struct{}
+		stopOnce sync.Once
+	}
+)
+
+// New builds a Node; Serve starts it.
+func New(cfg Config) *Node {
+	n := &Node{
+		cfg:       cfg,
+		log:       cfg.Log,
+		table:     route.NewTable(cfg.Settings.DC),
+		admission: filter.NewAdmission(1),
+		dedup:     filter.NewDedup(dedupWindow),
+		ledger:    budget.NewLedger(),
+		client:    cfg.Client,
+		stop:      make(chan struct{}),
+	}
+	if n.log == nil {
+		n.log = log.Log
+	}
+	if n.client == nil {
+		n.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	}
+	n.stats = newStats(cfg.Settings.Instance)
+	n.peers = newPeers(n.log, n.onPeerVersion)
+	n.local = filter.Chain(filter.HandlerFunc(n.callTarget),
+		filter.Deadline(),
+		filter.Drain(&n.leaving),
+		n.dedup.Filter(),
+		n.admission.Filter(),
+	)
+	n.wire = wire.Server{Handler: n.servePeer, Version: n.version}
+	n.http = &http.Server{Handler: n.routes(), ReadHeaderTimeout: 5 * time.Second}
+	if cfg.Graph != nil {
+		n.apply(cfg.Graph)
+	}
+	return n
+}
+
+// Serve listens on the settings' addresses and runs until Shutdown.
+func (n *Node) Serve() error {
+	hl, err := net.Listen("tcp", n.cfg.Settings.HTTP)
+	if err != nil {
+		return eris.Wrapf(err, "listen http %s", n.cfg.Settings.HTTP)
+	}
+	pl, err := net.Listen("tcp", n.cfg.Settings.Peer)
+	if err != nil {
+		hl.Close()
+		return eris.Wrapf(err, "listen peer %s", n.cfg.Settings.Peer)
+	}
+	return n.ServeOn(hl, pl)
+}
+
+// ServeOn runs on listeners the caller opened, until Shutdown.
+func (n *Node) ServeOn(hl, pl net.Listener) error {
+	go n.watchConfig()
+	go n.peers.keepAlive(n.stop)
+	go n.wire.Serve(pl)
+	n.log.WithFields(log.Fields{"http": hl.Addr().String(), "peer": pl.Addr().String()}).Info("node_started")
+	<-n.stop
+	pl.Close()
+	err := n.http.Serve(hl)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown stops the node gracefully: new calls are refused with a
+// come-back time and a leaving mark, calls in flight finish, then the
+// listeners close. ctx bounds the wait.
+func (n *Node) Shutdown(ctx context.Context) error {
+	n.leaving.Store(true)
+	n.log.Info("node_leaving")
+	select {
+	case <-time.After(drainGrace):
+	case <-ctx.Done():
+	}
+	n.stopOnce.Do(func() { close(n.stop) })
+	err := n.http.Shutdown(ctx)
+	done := make(chan struct{})
+	go func() { n.wire.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	n.wire.CloseConns()
+	n.peers.closeAll()
+	n.log.Info("node_stopped")
+	return err
+}
+
+// Graph returns the text in force, or nil.
+func (n *Node) Graph() *callgraph.Graph { return n.graph.Load() }
+
+func (n *Node) version() uint64 {
+	if g := n.graph.Load(); g != nil {
+		return uint64(g.Version)
+	}
+	return 0
+}
--- /dev/null
+++ b/node/outbound.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/oatpin/oatpin/budget"
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
+)
+
+// avoidAfterDial keeps calls away from an instance whose node could not be
+// dialled.
+const avoidAfterDial = time.Second
+
+// forward routes a call to a node of its service and retries within the
+// budget. The budget comes from the ledger when the call is the local
+// target's (hop set) and from the request at entry. A retry is sent only
+// when the answer says nothing ran, or the operation is idempotent and its
+// outcome is unknown; a re-pick after a refusal that ran nothing because the
+// instance was leaving or unreachable spends no budget, and is bounded by the
+// number of instances.
+func (n *Node) forward(ctx context.Context, r call.Request, op *callgraph.Operation, hop budget.Hop) call.Answer {
+	lease := r.Budget
+	if hop != "" {
+		lease = n.ledger.Lease(hop)
+	}
+	deadline := time.Now().Add(r.Remaining)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	var key call.Key
+	if !op.Idempotent {
+		key = r.Key
+	}
+	spent, retries := 0, 0
+	tried := map[string]bool{}
+	a := call.Refuse(r, ErrNoInstance.Error(), time.Second)
+	for ctx.Err() == nil {
+		in, ok := n.table.Pick(r.Service, key, tried)
+		if !ok {
+			break
+		}
+		tried[in.Name] = true
+		conn, err := n.peers.get(ctx, in.Peer)
+		if err != nil {
+			n.table.Avoid(in.Name, time.Now().Add(avoidAfterDial))
+			continue
+		}
+		sent := r
+		sent.Remaining = time.Until(deadline)
+		sent.Budget = lease - spent
+		a, err = conn.Call(ctx, sent, n.version())
+		if err != nil {
+			// Never written: nothing ran, so this is a re-pick, not a retry.
+			a = call.Refuse(r, err.Error(), minRetryAfter)
+			continue
+		}
+		spent += a.RetriesUsed
+		if a.Leaving {
+			n.table.SetLeaving(in.Name, true)
+			continue
+		}
+		if a.Status == call.NotRun && a.RetryAfter > 0 {
+			n.table.Avoid(in.Name, time.Now().Add(a.RetryAfter))
+		}
+		if !a.Retryable(op.Idempotent) || retries >= op.Retries || spent >= lease {
+			break
+		}
+		retries++
+		spent++
+		n.stats.retried(r.Service)
+	}
+	if hop != "" {
+		n.ledger.Return(hop, lease-spent)
+	}
+	a.ID = r.ID
+	a.RetriesUsed = spent
+	n.stats.answered("outbound", op.Class, a.Status)
+	return a
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/oatpin/oatpin/wire"
+)
+
+const (
+	// pingEvery and pingTimeout bound how long a silent connection (open,
+	// but forgotten by a box in between) goes unnoticed: at most their sum.
+	pingEvery   = 2 * time.Second
+	pingTimeout = time.Second
+	dialTimeout = time.Second
+)
+
+// peers holds one multiplexed connection per peer node address.
+type peers struct {
+	log      log.Interface
+	onConfig func(addr string, version uint64)
+
+	mu    sync.Mutex
+	conns map[string]*wire.Conn
+}
+
+func newPeers(l log.Interface, onConfig func(string, uint64)) *peers {
+	return &peers{log: l, onConfig: onConfig, conns: map[string]*wire.Conn{}}
+}
+
+// get returns the open connection to addr, dialling one if there is none or
+// the last one closed.
+func (p *peers) get(ctx context.Context, addr string) (*wire.Conn, error) {
+	p.mu.Lock()
+	c := p.conns[addr]
+	p.mu.Unlock()
+	if c != nil && c.Err() == nil {
+		return c, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := wire.Dial(ctx, addr, func(v uint64) { p.onConfig(addr, v) })
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	if old := p.conns[addr]; old != nil && old.Err() == nil {
+		p.mu.Unlock()
+		c.Close()
+		return old, nil
+	}
+	p.conns[addr] = c
+	p.mu.Unlock()
+	return c, nil
+}
+
+// keepAlive pings every connection until stop closes; one that does not
+// answer is closed, so the next call dials a fresh one.
+func (p *peers) keepAlive(stop <-chan struct{}) {
+	t := time.NewTicker(pingEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+		}
+		p.mu.Lock()
+		conns := make(map[string]*wire.Conn, len(p.conns))
+		for a, c := range p.conns {
+			conns[a] = c
+		}
+		p.mu.Unlock()
+		for addr, c := range conns {
+			if c.Err() != nil {
+				continue
+			}
+			if err := c.Ping(pingTimeout); err != nil {
+				p.log.WithField("peer", addr).WithError(err).Warn("peer_connection_silent")
+			}
+		}
+	}
+}
+
+func (p *peers) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, c := range p.conns {
+		c.Close()
+		delete(p.conns, a)
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,105 @@
+package settings
+
+import (
+	"net"
+	"net/url"
+	"strings"
+
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/rotisserie/eris"
+	"gopkg.in/ini.v1"
+)
+
+// ErrInvalid is wrapped by every error about a settings file.
+var ErrInvalid = eris.New("invalid settings")
+
+type (
+	// Node is the [node] section: one node beside one target VM.
+	Node struct {
+		Instance string       `ini:"instance"` // name of this instance in the configuration text
+		DC       callgraph.DC `ini:"dc"`
+		HTTP     string       `ini:"http"`     // host:port for callers and the local target
+		Peer     string       `ini:"peer"`     // host:port for other nodes (msgpack over TCP)
+		Target   string       `ini:"target"`   // base URL of the local target
+		Platform string       `ini:"platform"` // base URL of the configuration service
+		Timeline string       `ini:"timeline"` // file for the time line; empty for standard error
+	}
+
+	// Target is the [target] section: the stand-in back end.
+	Target struct {
+		Service  string `ini:"service"`
+		HTTP     string `ini:"http"`
+		Node     string `ini:"node"` // base URL of the local node, for calls to dependencies
+		Platform string `ini:"platform"`
+		Timeline string `ini:"timeline"`
+	}
+
+	// Platform is the [platform] section: the stand-in configuration service.
+	Platform struct {
+		HTTP     string `ini:"http"`
+		Config   string `ini:"config"` // file with the first text; empty for none
+		Timeline string `ini:"timeline"`
+	}
+)
+
+// Load reads the named section of the INI file at path into v, then checks
+// that every address is well formed.
+func Load(path, section string, v any) error {
+	f, err := ini.Load(path)
+	if err != nil {
+		return eris.Wrapf(ErrInvalid, "%s: %v", path, err)
+	}
+	if !f.HasSection(section) {
+		return eris.Wrapf(ErrInvalid, "%s: no [%s] section", path, section)
+	}
+	if err := f.Section(section).StrictMapTo(v); err != nil {
+		return eris.Wrapf(ErrInvalid, "%s: [%s]: %v", path, section, err)
+	}
+	if err := check(v); err != nil {
+		return eris.Wrapf(ErrInvalid, "%s: [%s]: %v", path, section, err)
+	}
+	return nil
+}
+
+func check(v any) error {
+	var problems []string
+	need := func(name, value string, ok func(string) bool) {
+		switch {
+		case value == "":
+			problems = append(problems, name+" is missing")
+		case !ok(value):
+			problems = append(problems, name+" "+value+" is not well formed")
+		}
+	}
+	switch s := v.(type) {
+	case *Node:
+		need("instance", s.Instance, nonEmpty)
+		need("dc", string(s.DC), nonEmpty)
+		need("http", s.HTTP, hostPort)
+		need("peer", s.Peer, hostPort)
+		need("target", s.Target, baseURL)
+		need("platform", s.Platform, baseURL)
+	case *Target:
+		need("service", s.Service, nonEmpty)
+		need("http", s.HTTP, hostPort)
+		need("node", s.Node, baseURL)
+	case *Platform:
+		need("http", s.HTTP, hostPort)
+	}
+	if len(problems) > 0 {
+		return eris.New(strings.Join(problems, "; "))
+	}
+	return nil
+}
+
+func nonEmpty(string) bool { return true }
+
+func hostPort(v string) bool {
+	_, _, err := net.SplitHostPort(v)
+	return err == nil
+}
+
+func baseURL(v string) bool {
+	u, err := url.Parse(v)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
--- /dev/null
+++ b/wire/conn.go
@@ -0,0 +1,201 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/oatpin/oatpin/call"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Conn is the calling side of one connection to a peer node. It is safe for
+// concurrent use; calls share the connection and are told apart by stream.
+type Conn struct {
+	nc      net.Conn
+	mu      sync.Mutex // guards w, enc, next, pending, err
+	w       *bufio.Writer
+	enc     *msgpack.Encoder
+	next    Stream
+	pending map[Stream]waiter
+	err     error
+	done    chan struct{}
+	peerCfg func(uint64)
+	pong    chan Stream
+}
+
+// Dial opens a connection to a peer's msgpack listener at addr. onConfig, if
+// not nil, is told the text version each answer carries.
+func Dial(ctx context.Context, addr string, onConfig func(uint64)) (*Conn, error) {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, eris.Wrapf(err, "dial peer %s", addr)
+	}
+	w := bufio.NewWriter(nc)
+	c := &Conn{
+		nc:      nc,
+		w:       w,
+		enc:     msgpack.NewEncoder(w),
+		pending: map[Stream]waiter{},
+		done:    make(chan struct{}),
+		peerCfg: onConfig,
+		pong:    make(chan Stream, 1),
+	}
+	go c.read()
+	return c, nil
+}
+
+// Call sends r and waits for its answer or ctx's end. An error means the
+// call may or may not have reached the peer: wrapping ErrClosed when it was
+// never written, otherwise the outcome is unknown.
+func (c *Conn) Call(ctx context.Context, r call.Request, version uint64) (call.Answer, error) {
+	ch := make(chan call.Answer, 1)
+	c.mu.Lock()
+	if c.err != nil {
+		c.mu.Unlock()
+		return call.Answer{}, eris.Wrap(ErrClosed, c.err.Error())
+	}
+	c.next++
+	s := c.next
+	c.pending[s] = waiter{id: r.ID, ch: ch}
+	err := c.write(Frame{Kind: KindRequest, Stream: s, Request: &r, Config: version})
+	c.mu.Unlock()
+	if err != nil {
+		c.forget(s)
+		c.fail(err)
+		return call.Answer{}, eris.Wrap(ErrClosed, err.Error())
+	}
+	select {
+	case a, ok := <-ch:
+		if !ok {
+			return call.Answer{ID: r.ID, Status: call.Unknown, Reason: "connection lost after sending"}, nil
+		}
+		return a, nil
+	case <-ctx.Done():
+		c.forget(s)
+		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: "deadline passed after sending"}, nil
+	}
+}
+
+// Ping sends a ping and waits for its pong within timeout. A connection
+// whose pong does not come is closed: this catches connections that a box
+// in between has forgotten, which look open but deliver nothing.
+func (c *Conn) Ping(timeout time.Duration) error {
+	c.mu.Lock()
+	c.next++
+	s := c.next
+	err := c.write(Frame{Kind: KindPing, Stream: s})
+	c.mu.Unlock()
+	if err != nil {
+		c.fail(err)
+		return eris.Wrap(ErrClosed, err.Error())
+	}
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	for {
+		select {
+		case got := <-c.pong:
+			if got == s {
+				return nil
+			}
+		case <-t.C:
+			c.fail(ErrSilent)
+			return ErrSilent
+		case <-c.done:
+			return ErrClosed
+		}
+	}
+}
+
+// Err returns why the connection closed, or nil while it is open.
+func (c *Conn) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// Close closes the connection; calls in flight end with status Unknown.
+func (c *Conn) Close() error {
+	c.fail(ErrClosed)
+	return nil
+}
+
+func (c *Conn) write(f Frame) error {
+	if err := c.enc.Encode(&f); err != nil {
+		return err
+	}
+	return c.w.Flush()
+}
+
+func (c *Conn) forget(s Stream) {
+	c.mu.Lock()
+	delete(c.pending, s)
+	c.mu.Unlock()
+}
+
+func (c *Conn) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return
+	}
+	c.err = err
+	c.nc.Close()
+	for s, w := range c.pending {
+		close(w.ch)
+		delete(c.pending, s)
+	}
+	close(c.done)
+}
+
+// read delivers answers to their callers. An answer whose stream is no longer
+// pending (late, duplicated, or for a call that gave up) is dropped, and an
+// answer whose id differs from the call's is dropped too: a caller gets its
+// own whole answer or none.
+func (c *Conn) read() {
+	dec := msgpack.NewDecoder(bufio.NewReader(c.nc))
+	for {
+		var f Frame
+		if err := dec.Decode(&f); err != nil {
+			c.fail(err)
+			return
+		}
+		switch f.Kind {
+		case KindPong:
+			select {
+			case c.pong <- f.Stream:
+			default:
+			}
+		case KindAnswer:
+			if f.Answer == nil {
+				continue
+			}
+			if c.peerCfg != nil {
+				c.peerCfg(f.Config)
+			}
+			c.deliver(f.Stream, *f.Answer)
+		}
+	}
+}
+
+func (c *Conn) deliver(s Stream, a call.Answer) {
+	c.mu.Lock()
+	w, ok := c.pending[s]
+	if ok && w.id == a.ID {
+		delete(c.pending, s)
+	}
+	c.mu.Unlock()
+	if ok && w.id == a.ID {
+		w.ch <- a
+	}
+}
+
+// waiter is one call waiting for its answer.
+type waiter struct {
+	id call.RequestID
+	ch chan call.Answer
+}
--- /dev/null
+++ b/wire/errors.go
@@ -0,0 +1,12 @@
+package wire
+
+import (
+	"github.com/rotisserie/eris"
+)
+
+var (
+	// ErrClosed is returned for calls on a connection that has closed.
+	ErrClosed = eris.New("connection closed")
+	// ErrSilent is returned when a connection stopped answering pings.
+	ErrSilent = eris.New("connection went silent")
+)
--- /dev/null
+++ b/wire/frame.go
@@ -0,0 +1,35 @@
+package wire
+
+import (
+	"github.com/oatpin/oatpin/call"
+)
+
+type (
+	// Kind says what a frame carries.
+	Kind uint8
+
+	// Stream numbers one call on one connection; the caller picks it.
+	Stream uint64
+
+	// Frame is the one message type on a node-to-node connection, encoded as
+	// msgpack with snake_case field names.
+	Frame struct {
+		Kind    Kind          `msgpack:"kind"`
+		Stream  Stream        `msgpack:"stream"`
+		Request *call.Request `msgpack:"request,omitempty"`
+		Answer  *call.Answer  `msgpack:"answer,omitempty"`
+		Config  uint64        `msgpack:"config"` // version of the text in force at the sender
+	}
+)
+
+const (
+	// KindRequest carries a call.Request.
+	KindRequest Kind = iota + 1
+	// KindAnswer carries the call.Answer to the request with the same stream.
+	KindAnswer
+	// KindPing asks the peer to answer with KindPong; it proves the
+	// connection still delivers.
+	KindPing
+	// KindPong answers a KindPing with the same stream.
+	KindPong
+)
