--- /dev/null
+++ b/target/target.go
@@ -0,0 +1,214 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
+)
+
+// headerHop must match node.HeaderHop; the target copies it to its outbound
+// calls like the other metadata headers.
+const headerHop = "Oatpin-Hop"
+
+type (
+	// Config is what a Target is built from.
+	Config struct {
+		Service   string
+		Graph     *callgraph.Graph
+		Node      string        // base URL of the local node
+		ColdStart time.Duration // time after start during which work is three times slower
+		Client    *http.Client
+	}
+
+	// Target is one running stand-in back end.
+	Target struct {
+		cfg     Config
+		service *callgraph.Service
+		slots   chan struct{}
+		started time.Time
+		client  *http.Client
+
+		slow     atomic.Int64 // factor times 100
+		paused   atomic.Bool
+		draining atomic.Bool
+		inflight atomic.Int64
+
+		mu      sync.Mutex
+		effects map[call.Key]int // commits of non-idempotent actions by key
+		served  int
+	}
+)
+
+// New builds a Target for cfg.Service of cfg.Graph.
+func New(cfg Config) *Target {
+	s := cfg.Graph.Services[cfg.Service]
+	t := &Target{cfg: cfg, service: s, slots: make(chan struct{}, s.Slots), started: time.Now(), client: cfg.Client, effects: map[call.Key]int{}}
+	if t.client == nil {
+		t.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	}
+	t.slow.Store(100)
+	return t
+}
+
+// Handler returns the target's HTTP API.
+func (t *Target) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/{operation}", t.handleOp)
+	mux.HandleFunc("GET /health", t.handleHealth)
+	mux.HandleFunc("POST /admin/slow", func(w http.ResponseWriter, r *http.Request) {
+		f, _ := strconv.ParseFloat(r.URL.Query().Get("factor"), 64)
+		t.SetSlow(f)
+	})
+	mux.HandleFunc("POST /admin/pause", func(w http.ResponseWriter, r *http.Request) { t.paused.Store(r.URL.Query().Get("on") != "false") })
+	mux.HandleFunc("POST /admin/drain", func(w http.ResponseWriter, r *http.Request) { t.draining.Store(true) })
+	mux.HandleFunc("GET /admin/effects", func(w http.ResponseWriter, r *http.Request) {
+		json.NewEncoder(w).Encode(t.Effects())
+	})
+	return mux
+}
+
+// SetSlow makes every operation take factor times its cost; 1 is normal.
+func (t *Target) SetSlow(factor float64) {
+	if factor <= 0 {
+		factor = 1
+	}
+	t.slow.Store(int64(factor * 100))
+}
+
+// Effects returns how often each non-idempotent action was committed.
+func (t *Target) Effects() map[call.Key]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[call.Key]int, len(t.effects))
+	for k, v := range t.effects {
+		out[k] = v
+	}
+	return out
+}
+
+// Served returns how many operations completed.
+func (t *Target) Served() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.served
+}
+
+func (t *Target) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	json.NewEncoder(w).Encode(map[string]any{"inflight": t.inflight.Load(), "draining": t.draining.Load()})
+}
+
+func (t *Target) handleOp(w http.ResponseWriter, req *http.Request) {
+	op := t.service.Operations[req.PathValue("operation")]
+	if op == nil {
+		http.Error(w, "unknown operation", http.StatusNotFound)
+		return
+	}
+	if t.draining.Load() {
+		notRun(w, "target draining")
+		return
+	}
+	var r call.Request
+	call.ReadHeaders(req.Header, &r)
+	ctx := req.Context()
+	if r.Remaining > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.Remaining)
+		defer cancel()
+	}
+	select {
+	case t.slots <- struct{}{}:
+	case <-ctx.Done():
+		notRun(w, "no slot before the deadline")
+		return
+	}
+	defer func() { <-t.slots }()
+	t.inflight.Add(1)
+	defer t.inflight.Add(-1)
+	body, status := t.run(ctx, req.Header, r, op)
+	switch status {
+	case call.OK:
+		w.Write(body)
+	case call.NotRun:
+		notRun(w, string(body))
+	default:
+		http.Error(w, string(body), http.StatusInternalServerError)
+	}
+}
+
+// run does the operation's work: its calls in order, then its own service
+// time, then the commit. It answers NotRun only while nothing has run.
+func (t *Target) run(ctx context.Context, h http.Header, r call.Request, op *callgraph.Operation) ([]byte, call.Status) {
+	for t.paused.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	var out bytes.Buffer
+	out.WriteString(t.cfg.Service + "." + op.Name + "(" + string(r.ID) + ")")
+	for i, ref := range op.Calls {
+		body, st := t.callDependency(ctx, h, ref, r)
+		if st != call.OK {
+			if i == 0 && st == call.NotRun {
+				return body, call.NotRun
+			}
+			return []byte(ref.String() + ": " + string(st)), call.Failed
+		}
+		out.WriteString(" <" + string(body) + ">")
+	}
+	cost := time.Duration(float64(op.Cost) * float64(t.slow.Load()) / 100)
+	if time.Since(t.started) < t.cfg.ColdStart {
+		cost *= 3
+	}
+	select {
+	case <-time.After(cost):
+	case <-ctx.Done():
+		return []byte("cancelled"), call.Failed
+	}
+	t.mu.Lock()
+	if !op.Idempotent {
+		t.effects[r.Key]++
+	}
+	t.served++
+	t.mu.Unlock()
+	return out.Bytes(), call.OK
+}
+
+// callDependency calls ref through the local node, passing on the request's
+// metadata; each sub-action gets its own key derived from the caller's.
+func (t *Target) callDependency(ctx context.Context, h http.Header, ref callgraph.Ref, r call.Request) ([]byte, call.Status) {
+	url := t.cfg.Node + "/v1/call/" + ref.Service + "/" + ref.Operation
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return []byte(err.Error()), call.NotRun
+	}
+	sub := r
+	if r.Key != "" {
+		sub.Key = r.Key + "/" + call.Key(ref.String())
+	}
+	if dl, ok := ctx.Deadline(); ok {
+		sub.Remaining = time.Until(dl)
+	}
+	call.WriteHeaders(req.Header, sub)
+	req.Header.Set(headerHop, h.Get(headerHop))
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return []byte(err.Error()), call.Unknown
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return body, call.Status(resp.Header.Get(call.HeaderStatus))
+}
+
+func notRun(w http.ResponseWriter, reason string) {
+	w.Header().Set(call.HeaderStatus, string(call.NotRun))
+	w.Header().Set(call.HeaderReason, reason)
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
