Wire the command line and the in-process demo; the whole path serves both deployments

oatpin demo starts, per embedded text, the platform stand-in and for every instance a stand-in target and its node, each on its own loopback ports, sends an open-loop mix with hard-retrying clients and prints the report.

--- /dev/null
+++ b/cmd/oatpin/demo.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/demo"
+	"github.com/oatpin/oatpin/examples"
+	"github.com/oatpin/oatpin/load"
+	"github.com/oatpin/oatpin/timeline"
+	"github.com/urfave/cli/v2"
+)
+
+// deployments are the embedded texts the demo runs, with the operations
+// their callers send and where their platform stand-in listens.
+var deployments = []struct {
+	name     string
+	text     []byte
+	platform string
+	entries  []callgraph.Ref
+}{
+	{"kessler-raab", examples.KesslerRaab, "127.0.0.1:17000", []callgraph.Ref{
+		{Service: "entwurf", Operation: "publish"}, {Service: "entwurf", Operation: "read_draft"},
+		{Service: "entwurf", Operation: "read_draft"}, {Service: "entwurf", Operation: "read_draft"},
+	}},
+	{"maracas", examples.Maracas, "127.0.0.1:17001", []callgraph.Ref{
+		{Service: "logbook", Operation: "log_find"}, {Service: "cache-pages", Operation: "browse"},
+		{Service: "trackables", Operation: "award"}, {Service: "logbook", Operation: "past_finds"},
+	}},
+}
+
+var demoCommand = &cli.Command{
+	Name:  "demo",
+	Usage: "run both embedded deployments on loopback and print whole requests completed and refused",
+	Flags: []cli.Flag{
+		&cli.DurationFlag{Name: "duration", Value: 5 * time.Second, Usage: "how long to send load"},
+		&cli.Float64Flag{Name: "rate", Value: 400, Usage: "requests a second to each deployment"},
+		&cli.StringFlag{Name: "timeline", Usage: "file for the time line (default standard error)"},
+	},
+	Action: func(c *cli.Context) error {
+		lg, closer, err := timeline.Open(c.String("timeline"), "demo")
+		if err != nil {
+			return err
+		}
+		defer closer.Close()
+		for _, d := range deployments {
+			m, err := demo.Start(demo.Config{Text: d.text, Platform: d.platform, Log: lg})
+			if err != nil {
+				return err
+			}
+			rep := load.Run(c.Context, load.Config{Graph: m.Graph, Entries: d.entries, Rate: c.Float64("rate"), Duration: c.Duration("duration"), Retries: 2})
+			fmt.Fprintf(c.App.Writer, "== %s: %d instances, deepest chain %d\n", d.name, len(m.Nodes), deepest(m.Graph, d.entries))
+			rep.Print(c.App.Writer)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			m.Stop(ctx)
+			cancel()
+		}
+		return nil
+	},
+}
+
+func deepest(g *callgraph.Graph, refs []callgraph.Ref) int {
+	d := 0
+	for _, r := range refs {
+		d = max(d, g.Depth(r))
+	}
+	return d
+}
--- /dev/null
+++ b/cmd/oatpin/roles.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/node"
+	"github.com/oatpin/oatpin/platform"
+	"github.com/oatpin/oatpin/settings"
+	"github.com/oatpin/oatpin/target"
+	"github.com/oatpin/oatpin/timeline"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v2"
+)
+
+// stopTimeout bounds a graceful stop after SIGTERM.
+const stopTimeout = 30 * time.Second
+
+var settingsFlag = &cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "INI settings file", Required: true}
+
+var nodeCommand = &cli.Command{
+	Name:  "node",
+	Usage: "run the node beside one target VM",
+	Flags: []cli.Flag{settingsFlag},
+	Action: func(c *cli.Context) error {
+		var s settings.Node
+		if err := settings.Load(c.String("settings"), "node", &s); err != nil {
+			return err
+		}
+		lg, closer, err := timeline.Open(s.Timeline, s.Instance)
+		if err != nil {
+			return err
+		}
+		defer closer.Close()
+		n := node.New(node.Config{Settings: s, Log: lg})
+		go stopOnSignal(func(ctx context.Context) { n.Shutdown(ctx) })
+		return n.Serve()
+	},
+}
+
+var targetCommand = &cli.Command{
+	Name:  "target",
+	Usage: "run the stand-in back end of one service",
+	Flags: []cli.Flag{settingsFlag},
+	Action: func(c *cli.Context) error {
+		var s settings.Target
+		if err := settings.Load(c.String("settings"), "target", &s); err != nil {
+			return err
+		}
+		g, err := readPlatformText(s.Platform)
+		if err != nil {
+			return err
+		}
+		if g.Services[s.Service] == nil {
+			return eris.Errorf("target: service %s is not in the text in force", s.Service)
+		}
+		t := target.New(target.Config{Service: s.Service, Graph: g, Node: s.Node})
+		return serveHTTP(s.HTTP, t.Handler())
+	},
+}
+
+var platformCommand = &cli.Command{
+	Name:  "platform",
+	Usage: "run the stand-in configuration service and VM list",
+	Flags: []cli.Flag{settingsFlag},
+	Action: func(c *cli.Context) error {
+		var s settings.Platform
+		if err := settings.Load(c.String("settings"), "platform", &s); err != nil {
+			return err
+		}
+		var text []byte
+		if s.Config != "" {
+			var err error
+			if text, err = os.ReadFile(s.Config); err != nil {
+				return eris.Wrap(err, "platform: first text")
+			}
+		}
+		lg, closer, err := timeline.Open(s.Timeline, "platform")
+		if err != nil {
+			return err
+		}
+		defer closer.Close()
+		p, err := platform.New(platform.Config{Text: text, Log: lg})
+		if err != nil {
+			return err
+		}
+		return serveHTTP(s.HTTP, p.Handler())
+	},
+}
+
+// serveHTTP serves h on addr until SIGTERM or SIGINT, then stops gracefully.
+func serveHTTP(addr string, h http.Handler) error {
+	srv := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	go stopOnSignal(func(ctx context.Context) { srv.Shutdown(ctx) })
+	if err := srv.ListenAndServe(); err != nil && err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+func stopOnSignal(stop func(context.Context)) {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT)
+	<-ch
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	stop(ctx)
+}
+
+// readPlatformText reads the text in force from the platform at base.
+func readPlatformText(base string) (*callgraph.Graph, error) {
+	resp, err := http.Get(base + "/v1/config")
+	if err != nil {
+		return nil, eris.Wrap(err, "read text from platform")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("read text from platform: %s", resp.Status)
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	return callgraph.Parse(text)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -124,8 +124,7 @@
 	go n.peers.keepAlive(n.stop)
 	go n.wire.Serve(pl)
 	n.log.WithFields(log.Fields{"http": hl.Addr().String(), "peer": pl.Addr().String()}).Info("node_started")
-	<-n.stop
-	pl.Close()
+	go func() { <-n.stop; pl.Close() }()
 	err := n.http.Serve(hl)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
