--- a/callgraph/errors.go
+++ b/callgraph/errors.go
@@ -39,4 +39,4 @@
 }
 
 // Unwrap lets errors.Is find ErrInvalid.
-func (e *TextError) Unwrap() error { return ErrInvalid }
+func (*TextError) Unwrap() error { return ErrInvalid }
--- a/callgraph/parse.go
+++ b/callgraph/parse.go
@@ -67,7 +67,7 @@
 	if len(parts) == 2 {
 		svc.Slots = p.int(s, "slots", 0)
 		svc.Connections = p.int(s, "connections", 0)
-		svc.DependsOn = p.list(s, "depends_on")
+		svc.DependsOn = list(s, "depends_on")
 		if svc.Slots <= 0 {
 			p.add(p.ix.key(name, "slots"), "service %s: slots must be a whole number above 0", svc.Name)
 		}
@@ -105,7 +105,7 @@
 	if op.Class != call.Critical && op.Class != call.Sheddable {
 		p.add(p.ix.key(s.Name(), "class"), "operation %s: class must be critical or sheddable, not %q", name, op.Class)
 	}
-	for _, c := range p.list(s, "calls") {
+	for _, c := range list(s, "calls") {
 		svc, opName, ok := strings.Cut(c, ".")
 		if !ok {
 			p.add(p.ix.key(s.Name(), "calls"), "operation %s: call %q must be written service.operation", name, c)
@@ -163,7 +163,7 @@
 	return d
 }
 
-func (p *parser) list(s *ini.Section, key string) []string {
+func list(s *ini.Section, key string) []string {
 	if !s.HasKey(key) {
 		return nil
 	}
--- a/filter/dedup.go
+++ b/filter/dedup.go
@@ -40,7 +40,7 @@
 			mine := &run{done: make(chan struct{})}
 			r, first := d.window.GetOrPut(c.Request.Key, mine)
 			if !first {
-				return d.wait(ctx, c, r)
+				return wait(ctx, c, r)
 			}
 			r.answer = next.Serve(ctx, c)
 			if r.answer.Status == call.NotRun {
@@ -52,7 +52,7 @@
 	}
 }
 
-func (d *Dedup) wait(ctx context.Context, c *Call, r *run) call.Answer {
+func wait(ctx context.Context, c *Call, r *run) call.Answer {
 	select {
 	case <-r.done:
 		a := r.answer
--- a/load/load.go
+++ b/load/load.go
@@ -181,4 +181,3 @@
 	}
 	return -1
 }
-
--- a/node/http.go
+++ b/node/http.go
@@ -57,7 +57,7 @@
 	}
 	hop := budget.Hop(req.Header.Get(HeaderHop))
 	if hop == "" {
-		n.entry(&r, g, op)
+		fillEntry(&r, g, op)
 	}
 	var a call.Answer
 	if hop == "" && r.Service == n.service() {
@@ -70,7 +70,7 @@
 
 // entry fills what a caller left out: a request id, the operation's
 // deadline, and the text's retry budget, which a caller cannot raise.
-func (n *Node) entry(r *call.Request, g *callgraph.Graph, op *callgraph.Operation) {
+func fillEntry(r *call.Request, g *callgraph.Graph, op *callgraph.Operation) {
 	if r.ID == "" {
 		r.ID = call.RequestID(uuid.NewString())
 	}
