--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -16,15 +15,11 @@
 	"github.com/rotisserie/eris"
 )
 
-// targetPortOffset puts each stand-in target at its node's HTTP port plus
-// this.
-const targetPortOffset = 2000
-
 type (
 	// Config is what a Mesh is built from.
 	Config struct {
 		Text     []byte
-		Platform string // host:port of the platform stand-in
+		Platform string // host:port of the platform stand-in; port 0 for any
 		Log      log.Interface
 	}
 
@@ -34,23 +29,12 @@
 		Platform *platform.Platform
 		Nodes    map[string]*node.Node
 		Targets  map[string]*target.Target
-		servers  []*http.Server
+		// PlatformURL is the base URL of the platform stand-in.
+		PlatformURL string
+		servers     []*http.Server
 	}
 )
 
-// TargetAddr returns where the stand-in target of an instance listens.
-func TargetAddr(in callgraph.Instance) (string, error) {
-	host, port, err := net.SplitHostPort(in.HTTP)
-	if err != nil {
-		return "", err
-	}
-	p, err := strconv.Atoi(port)
-	if err != nil {
-		return "", err
-	}
-	return net.JoinHostPort(host, strconv.Itoa(p+targetPortOffset)), nil
-}
-
 // Start starts the platform, every target and every node of cfg.Text.
 func Start(cfg Config) (*Mesh, error) {
 	if cfg.Log == nil {
@@ -65,12 +49,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := m.listen(cfg.Platform, m.Platform.Handler()); err != nil {
+	paddr, err := m.listen(cfg.Platform, m.Platform.Handler())
+	if err != nil {
 		return nil, err
 	}
+	m.PlatformURL = "http://" + paddr
 	for _, name := range g.Names() {
 		for _, in := range g.Services[name].Instances {
-			if err := m.startInstance(cfg, name, in); err != nil {
+			if err := m.startInstance(cfg.Log, name, in); err != nil {
 				m.Stop(context.Background())
 				return nil, err
 			}
@@ -79,13 +65,12 @@
 	return m, nil
 }
 
-func (m *Mesh) startInstance(cfg Config, service string, in callgraph.Instance) error {
-	taddr, err := TargetAddr(in)
-	if err != nil {
-		return err
-	}
+// startInstance starts the stand-in target of one instance on any free
+// loopback port, then its node on the addresses the text gives.
+func (m *Mesh) startInstance(lg log.Interface, service string, in callgraph.Instance) error {
 	t := target.New(target.Config{Service: service, Graph: m.Graph, Node: "http://" + in.HTTP})
-	if err := m.listen(taddr, t.Handler()); err != nil {
+	taddr, err := m.listen("127.0.0.1:0", t.Handler())
+	if err != nil {
 		return err
 	}
 	m.Targets[in.Name] = t
@@ -100,24 +85,25 @@
 	}
 	n := node.New(node.Config{
 		Settings: settings.Node{Instance: in.Name, DC: in.DC, HTTP: in.HTTP, Peer: in.Peer,
-			Target: "http://" + taddr, Platform: "http://" + cfg.Platform},
+			Target: "http://" + taddr, Platform: m.PlatformURL},
 		Graph: m.Graph,
-		Log:   cfg.Log.WithField("process", in.Name),
+		Log:   lg.WithField("process", in.Name),
 	})
 	go n.ServeOn(hl, pl)
 	m.Nodes[in.Name] = n
 	return nil
 }
 
-func (m *Mesh) listen(addr string, h http.Handler) error {
+// listen serves h on addr and returns the address bound.
+func (m *Mesh) listen(addr string, h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return eris.Wrapf(err, "listen %s", addr)
+		return "", eris.Wrapf(err, "listen %s", addr)
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
 	m.servers = append(m.servers, s)
 	go s.Serve(l)
-	return nil
+	return l.Addr().String(), nil
 }
 
 // Stop shuts every node down gracefully, then the targets and platform.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/url"
+	"reflect"
 	"strings"
 
 	"github.com/oatpin/oatpin/callgraph"
@@ -52,6 +53,9 @@
 	if !f.HasSection(section) {
 		return eris.Wrapf(ErrInvalid, "%s: no [%s] section", path, section)
 	}
+	if err := unknownKeys(f.Section(section), v); err != nil {
+		return eris.Wrapf(ErrInvalid, "%s: [%s]: %v", path, section, err)
+	}
 	if err := f.Section(section).StrictMapTo(v); err != nil {
 		return eris.Wrapf(ErrInvalid, "%s: [%s]: %v", path, section, err)
 	}
@@ -61,6 +65,26 @@
 	return nil
 }
 
+// unknownKeys refuses keys that v has no field for: a misspelt key would
+// otherwise be dropped silently and its default used.
+func unknownKeys(s *ini.Section, v any) error {
+	known := map[string]bool{}
+	t := reflect.TypeOf(v).Elem()
+	for i := range t.NumField() {
+		known[t.Field(i).Tag.Get("ini")] = true
+	}
+	var unknown []string
+	for _, k := range s.KeyStrings() {
+		if !known[k] {
+			unknown = append(unknown, k)
+		}
+	}
+	if len(unknown) > 0 {
+		return eris.Errorf("unknown keys: %s", strings.Join(unknown, ", "))
+	}
+	return nil
+}
+
 func check(v any) error {
 	var problems []string
 	need := func(name, value string, ok func(string) bool) {
--- /dev/null
+++ b/wire/conn_test.go
@@ -0,0 +1,141 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oatpin/oatpin/call"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+)
+
+// shuffledPeer reads n request frames, then answers them in the order perm
+// gives, sending each answer twice and, before it, an answer on the same
+// stream with another request's id.
+func shuffledPeer(t *rapid.T, l net.Listener, n int, perm []int) {
+	nc, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer nc.Close()
+	dec := msgpack.NewDecoder(bufio.NewReader(nc))
+	var got []Frame
+	for len(got) < n {
+		var f Frame
+		if err := dec.Decode(&f); err != nil {
+			return
+		}
+		got = append(got, f)
+	}
+	w := bufio.NewWriter(nc)
+	enc := msgpack.NewEncoder(w)
+	for _, i := range perm {
+		f := got[i]
+		wrong := call.Answer{ID: "someone-else", Status: call.OK, Body: []byte("not yours")}
+		enc.Encode(&Frame{Kind: KindAnswer, Stream: f.Stream, Answer: &wrong})
+		a := call.Answer{ID: f.Request.ID, Status: call.OK, Body: []byte("whole answer to " + string(f.Request.ID))}
+		enc.Encode(&Frame{Kind: KindAnswer, Stream: f.Stream, Answer: &a})
+		enc.Encode(&Frame{Kind: KindAnswer, Stream: f.Stream, Answer: &a})
+	}
+	w.Flush()
+	time.Sleep(50 * time.Millisecond)
+}
+
+// Answers on a shared connection come back late, twice and out of order,
+// and a confused peer sends one caller's stream an answer with another
+// request's id. Every caller must get exactly its own whole answer: a mixed
+// up answer would show an editor someone else's draft.
+func TestCallersGetOnlyTheirOwnWholeAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 24).Draw(t, "calls")
+		perm := rapid.Permutation(seq(n)).Draw(t, "order")
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go shuffledPeer(t, l, n, perm)
+		c, err := Dial(context.Background(), l.Addr().String(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		var wg sync.WaitGroup
+		answers := make([]call.Answer, n)
+		for i := range n {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				r := call.Request{ID: call.RequestID(fmt.Sprintf("req-%d", i))}
+				answers[i], _ = c.Call(ctx, r, 1)
+			}()
+		}
+		wg.Wait()
+		for i, a := range answers {
+			want := fmt.Sprintf("req-%d", i)
+			if a.Status != call.OK || string(a.ID) != want || string(a.Body) != "whole answer to "+want {
+				t.Fatalf("caller %s got %+v", want, a)
+			}
+		}
+	})
+}
+
+func seq(n int) []int {
+	s := make([]int, n)
+	for i := range s {
+		s[i] = i
+	}
+	return s
+}
+
+// A box between two nodes forgets a connection: it stays open but nothing
+// crosses it. Calls on it would wait out their deadlines. The ping must
+// find it within its timeout and close it, so the next call dials anew.
+func TestPingClosesSilentConnection(t *testing.T) {
+	Convey("A connection whose peer never answers is closed by a ping", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer l.Close()
+		go func() {
+			nc, err := l.Accept()
+			if err == nil {
+				defer nc.Close()
+				time.Sleep(2 * time.Second) // reads nothing, answers nothing
+			}
+		}()
+		c, err := Dial(context.Background(), l.Addr().String(), nil)
+		So(err, ShouldBeNil)
+		err = c.Ping(100 * time.Millisecond)
+		So(err, ShouldEqual, ErrSilent)
+		So(c.Err(), ShouldNotBeNil)
+	})
+}
+
+func TestServerAnswersCalls(t *testing.T) {
+	Convey("A Server answers calls and pings on one connection", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &Server{Handler: func(_ context.Context, r call.Request) call.Answer {
+			return call.Answer{ID: r.ID, Status: call.OK, Body: r.Body}
+		}, Version: func() uint64 { return 7 }}
+		go s.Serve(l)
+		defer l.Close()
+		var seen uint64
+		c, err := Dial(context.Background(), l.Addr().String(), func(v uint64) { seen = v })
+		So(err, ShouldBeNil)
+		defer c.Close()
+		a, err := c.Call(context.Background(), call.Request{ID: "r1", Body: []byte("hi")}, 1)
+		So(err, ShouldBeNil)
+		So(string(a.Body), ShouldEqual, "hi")
+		So(seen, ShouldEqual, 7)
+		So(c.Ping(time.Second), ShouldBeNil)
+	})
+}
