Test the whole path in process: publication chain, at most once, honest not-run, retry budget over eight hops

Ports: a target on port 0 could be given a port the relocated text named for a later node (bind: address already in use); Start now binds every node's addresses before any target.

The retry test first used a draining deepest target; it passed even with the budget check removed, because the refusal's Retry-After made every parent avoid the instances, so it proved nothing. Targets now pass their dependency's come-back time on, and the test uses a target that refuses with none.

--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -54,42 +54,75 @@
 		return nil, err
 	}
 	m.PlatformURL = "http://" + paddr
+	// Every node's addresses are bound before any target takes a port of
+	// its own: a target on port 0 could otherwise be handed a port the
+	// text names for a node that has not started yet.
+	var bound []listeners
 	for _, name := range g.Names() {
 		for _, in := range g.Services[name].Instances {
-			if err := m.startInstance(cfg.Log, name, in); err != nil {
-				m.Stop(context.Background())
+			ls, err := listen(in)
+			if err != nil {
+				closeAll(bound)
 				return nil, err
 			}
+			bound = append(bound, ls)
+		}
+	}
+	for i, ls := range bound {
+		if err := m.startInstance(cfg.Log, ls); err != nil {
+			closeAll(bound[i:])
+			m.Stop(context.Background())
+			return nil, err
 		}
 	}
 	return m, nil
 }
 
-// startInstance starts the stand-in target of one instance on any free
-// loopback port, then its node on the addresses the text gives.
-func (m *Mesh) startInstance(lg log.Interface, service string, in callgraph.Instance) error {
-	t := target.New(target.Config{Service: service, Graph: m.Graph, Node: "http://" + in.HTTP})
-	taddr, err := m.listen("127.0.0.1:0", t.Handler())
-	if err != nil {
-		return err
-	}
-	m.Targets[in.Name] = t
+// listeners are the bound addresses of one instance's node.
+type listeners struct {
+	in   callgraph.Instance
+	http net.Listener
+	peer net.Listener
+}
+
+func listen(in callgraph.Instance) (listeners, error) {
 	hl, err := net.Listen("tcp", in.HTTP)
 	if err != nil {
-		return eris.Wrapf(err, "listen %s", in.HTTP)
+		return listeners{}, eris.Wrapf(err, "listen %s", in.HTTP)
 	}
 	pl, err := net.Listen("tcp", in.Peer)
 	if err != nil {
 		hl.Close()
-		return eris.Wrapf(err, "listen %s", in.Peer)
+		return listeners{}, eris.Wrapf(err, "listen %s", in.Peer)
 	}
+	return listeners{in: in, http: hl, peer: pl}, nil
+}
+
+func closeAll(ls []listeners) {
+	for _, l := range ls {
+		l.http.Close()
+		l.peer.Close()
+	}
+}
+
+// startInstance starts the stand-in target of one instance on any free
+// loopback port, then its node on the addresses the text gives.
+func (m *Mesh) startInstance(lg log.Interface, ls listeners) error {
+	in := ls.in
+	service, _, _ := m.Graph.Instance(in.Name)
+	t := target.New(target.Config{Service: service.Name, Graph: m.Graph, Node: "http://" + in.HTTP})
+	taddr, err := m.listen("127.0.0.1:0", t.Handler())
+	if err != nil {
+		return err
+	}
+	m.Targets[in.Name] = t
 	n := node.New(node.Config{
 		Settings: settings.Node{Instance: in.Name, DC: in.DC, HTTP: in.HTTP, Peer: in.Peer,
 			Target: "http://" + taddr, Platform: m.PlatformURL},
 		Graph: m.Graph,
 		Log:   lg.WithField("process", in.Name),
 	})
-	go n.ServeOn(hl, pl)
+	go n.ServeOn(ls.http, ls.peer)
 	m.Nodes[in.Name] = n
 	return nil
 }
--- a/node/config.go
+++ b/node/config.go
@@ -76,6 +76,15 @@
 func (n *Node) pollPlatform() error {
 	ctx, cancel := context.WithTimeout(context.Background(), watchWait+5*time.Second)
 	defer cancel()
+	// A watch waits at the platform for up to watchWait; a stopping node
+	// must not keep it open, or the platform's own stop waits on it.
+	go func() {
+		select {
+		case <-n.stop:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	url := n.cfg.Settings.Platform + "/v1/config?after=" + strconv.FormatUint(n.version(), 10) + "&wait=" + watchWait.String()
 	return n.fetchConfig(ctx, url)
 }
--- /dev/null
+++ b/node/path_test.go
@@ -0,0 +1,143 @@
+package node_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/demo"
+	"github.com/oatpin/oatpin/examples"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// startMesh runs text on free loopback ports until the test ends.
+func startMesh(t *testing.T, text []byte) *demo.Mesh {
+	t.Helper()
+	text, err := demo.Relocate(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	m, err := demo.Start(demo.Config{Text: text, Platform: "127.0.0.1:0", Log: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		m.Stop(ctx)
+	})
+	return m
+}
+
+// send posts one call to the first instance of service and returns the
+// answer's status and body.
+func send(t *testing.T, m *demo.Mesh, service, op, key string) (call.Status, string) {
+	t.Helper()
+	in := m.Graph.Services[service].Instances[0]
+	req, err := http.NewRequest(http.MethodPost, "http://"+in.HTTP+"/v1/call/"+service+"/"+op, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set(call.HeaderKey, key)
+		req.Header.Set(call.HeaderRequestID, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return call.Status(resp.Header.Get(call.HeaderStatus)), string(body)
+}
+
+func TestPublicationCrossesTheWholeChain(t *testing.T) {
+	m := startMesh(t, examples.KesslerRaab)
+	Convey("A publication passes entwurf, freigabe, archiv and versand", t, func() {
+		st, body := send(t, m, "entwurf", "publish", "release-4711")
+		So(st, ShouldEqual, call.OK)
+		for _, hop := range []string{"entwurf.publish", "freigabe.approve", "archiv.store", "versand.dispatch"} {
+			So(body, ShouldContainSubstring, hop+"(release-4711)")
+		}
+	})
+}
+
+// A client retries one publication hard: five tries with the same key, some
+// at once. The subscribers must get it once; each try must be told the
+// same whole answer.
+func TestPublicationRunsAtMostOnceUnderClientRetries(t *testing.T) {
+	m := startMesh(t, examples.KesslerRaab)
+	Convey("Five tries of one key commit versand.dispatch once", t, func() {
+		var wg sync.WaitGroup
+		bodies := make([]string, 5)
+		for i := range bodies {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				_, bodies[i] = send(t, m, "entwurf", "publish", "release-0815")
+			}()
+		}
+		wg.Wait()
+		commits := 0
+		for name, tg := range m.Targets {
+			if strings.HasPrefix(name, "versand") {
+				commits += tg.Effects()["release-0815/freigabe.approve/archiv.store/versand.dispatch"]
+			}
+		}
+		So(commits, ShouldEqual, 1)
+		for _, b := range bodies {
+			So(b, ShouldEqual, bodies[0])
+		}
+	})
+}
+
+// versand is draining, so the first call of archiv.store is refused. The
+// editor is told the publication did not run; nothing of it may have run
+// at any target, or a retry later would approve twice.
+func TestNotRunMeansNothingRan(t *testing.T) {
+	m := startMesh(t, examples.KesslerRaab)
+	for name, tg := range m.Targets {
+		if strings.HasPrefix(name, "versand") {
+			tg.Drain()
+		}
+	}
+	Convey("A refused publication committed nothing anywhere", t, func() {
+		st, _ := send(t, m, "entwurf", "publish", "release-9")
+		So(st, ShouldEqual, call.NotRun)
+		for _, tg := range m.Targets {
+			So(tg.Effects(), ShouldBeEmpty)
+		}
+	})
+}
+
+// The deepest of eight services refuses every call, with no come-back time.
+// With a retry at every hop, each refusal is retried at each level above it
+// and the attempts grow as 2^8. The budget carried with the request must hold the retries
+// of the whole request to the text's bound of 3.
+func TestRetriesOverEightHopsStayWithinTheBudget(t *testing.T) {
+	text, err := os.ReadFile("testdata/chain.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := startMesh(t, text)
+	m.Targets["s8-1"].Reject()
+	m.Targets["s8-2"].Reject()
+	Convey("Retries caused over all hops stay within the budget", t, func() {
+		st, _ := send(t, m, "s1", "step", "")
+		So(st, ShouldEqual, call.NotRun)
+		// Every arrival at s_k but the first comes from a retry at some hop
+		// at or above it, and each arrival above s8 calls s8 once, so the
+		// retries of the request are the arrivals at s8 less one.
+		arrivals := m.Targets["s8-1"].Arrivals() + m.Targets["s8-2"].Arrivals()
+		So(arrivals-1, ShouldBeLessThanOrEqualTo, m.Graph.Retries)
+	})
+}
--- a/target/target.go
+++ b/target/target.go
@@ -37,10 +37,12 @@
 		started time.Time
 		client  *http.Client
 
-		slow     atomic.Int64 // factor times 100
-		paused   atomic.Bool
-		draining atomic.Bool
-		inflight atomic.Int64
+		slow      atomic.Int64 // factor times 100
+		paused    atomic.Bool
+		draining  atomic.Bool
+		rejecting atomic.Bool
+		inflight  atomic.Int64
+		arrivals  atomic.Int64
 
 		mu      sync.Mutex
 		effects map[call.Key]int // commits of non-idempotent actions by key
@@ -69,7 +71,7 @@
 		t.SetSlow(f)
 	})
 	mux.HandleFunc("POST /admin/pause", func(w http.ResponseWriter, r *http.Request) { t.paused.Store(r.URL.Query().Get("on") != "false") })
-	mux.HandleFunc("POST /admin/drain", func(w http.ResponseWriter, r *http.Request) { t.draining.Store(true) })
+	mux.HandleFunc("POST /admin/drain", func(w http.ResponseWriter, r *http.Request) { t.Drain() })
 	mux.HandleFunc("GET /admin/effects", func(w http.ResponseWriter, r *http.Request) {
 		json.NewEncoder(w).Encode(t.Effects())
 	})
@@ -84,6 +86,17 @@
 	t.slow.Store(int64(factor * 100))
 }
 
+// Drain makes the target refuse every new call as not run, asking callers
+// to come back in a second.
+func (t *Target) Drain() { t.draining.Store(true) }
+
+// Reject makes the target refuse every new call as not run with no
+// come-back time, as a target that sheds without a hint does.
+func (t *Target) Reject() { t.rejecting.Store(true) }
+
+// Arrivals returns how many calls reached the target, refused ones included.
+func (t *Target) Arrivals() int64 { return t.arrivals.Load() }
+
 // Effects returns how often each non-idempotent action was committed.
 func (t *Target) Effects() map[call.Key]int {
 	t.mu.Lock()
@@ -107,13 +120,18 @@
 }
 
 func (t *Target) handleOp(w http.ResponseWriter, req *http.Request) {
+	t.arrivals.Add(1)
 	op := t.service.Operations[req.PathValue("operation")]
 	if op == nil {
 		http.Error(w, "unknown operation", http.StatusNotFound)
 		return
 	}
 	if t.draining.Load() {
-		notRun(w, "target draining")
+		notRun(w, "target draining", "1")
+		return
+	}
+	if t.rejecting.Load() {
+		notRun(w, "target rejecting", "")
 		return
 	}
 	var r call.Request
@@ -127,38 +145,39 @@
 	select {
 	case t.slots <- struct{}{}:
 	case <-ctx.Done():
-		notRun(w, "no slot before the deadline")
+		notRun(w, "no slot before the deadline", "1")
 		return
 	}
 	defer func() { <-t.slots }()
 	t.inflight.Add(1)
 	defer t.inflight.Add(-1)
-	body, status := t.run(ctx, req.Header, r, op)
+	body, status, after := t.run(ctx, req.Header, r, op)
 	switch status {
 	case call.OK:
 		w.Write(body)
 	case call.NotRun:
-		notRun(w, string(body))
+		notRun(w, string(body), after)
 	default:
 		http.Error(w, string(body), http.StatusInternalServerError)
 	}
 }
 
 // run does the operation's work: its calls in order, then its own service
-// time, then the commit. It answers NotRun only while nothing has run.
-func (t *Target) run(ctx context.Context, h http.Header, r call.Request, op *callgraph.Operation) ([]byte, call.Status) {
+// time, then the commit. It answers NotRun only while nothing has run, with
+// the come-back time its refused dependency gave.
+func (t *Target) run(ctx context.Context, h http.Header, r call.Request, op *callgraph.Operation) ([]byte, call.Status, string) {
 	for t.paused.Load() {
 		time.Sleep(10 * time.Millisecond)
 	}
 	var out bytes.Buffer
 	out.WriteString(t.cfg.Service + "." + op.Name + "(" + string(r.ID) + ")")
 	for i, ref := range op.Calls {
-		body, st := t.callDependency(ctx, h, ref, r)
+		body, st, after := t.callDependency(ctx, h, ref, r)
 		if st != call.OK {
 			if i == 0 && st == call.NotRun {
-				return body, call.NotRun
+				return body, call.NotRun, after
 			}
-			return []byte(ref.String() + ": " + string(st)), call.Failed
+			return []byte(ref.String() + ": " + string(st)), call.Failed, ""
 		}
 		out.WriteString(" <" + string(body) + ">")
 	}
@@ -169,7 +188,7 @@
 	select {
 	case <-time.After(cost):
 	case <-ctx.Done():
-		return []byte("cancelled"), call.Failed
+		return []byte("cancelled"), call.Failed, ""
 	}
 	t.mu.Lock()
 	if !op.Idempotent {
@@ -177,16 +196,16 @@
 	}
 	t.served++
 	t.mu.Unlock()
-	return out.Bytes(), call.OK
+	return out.Bytes(), call.OK, ""
 }
 
 // callDependency calls ref through the local node, passing on the request's
 // metadata; each sub-action gets its own key derived from the caller's.
-func (t *Target) callDependency(ctx context.Context, h http.Header, ref callgraph.Ref, r call.Request) ([]byte, call.Status) {
+func (t *Target) callDependency(ctx context.Context, h http.Header, ref callgraph.Ref, r call.Request) ([]byte, call.Status, string) {
 	url := t.cfg.Node + "/v1/call/" + ref.Service + "/" + ref.Operation
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
 	if err != nil {
-		return []byte(err.Error()), call.NotRun
+		return []byte(err.Error()), call.NotRun, ""
 	}
 	sub := r
 	if r.Key != "" {
@@ -199,16 +218,20 @@
 	req.Header.Set(headerHop, h.Get(headerHop))
 	resp, err := t.client.Do(req)
 	if err != nil {
-		return []byte(err.Error()), call.Unknown
+		return []byte(err.Error()), call.Unknown, ""
 	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
-	return body, call.Status(resp.Header.Get(call.HeaderStatus))
+	return body, call.Status(resp.Header.Get(call.HeaderStatus)), resp.Header.Get("Retry-After")
 }
 
-func notRun(w http.ResponseWriter, reason string) {
+// notRun refuses a call that ran nothing; after is the Retry-After value in
+// seconds, or empty for none.
+func notRun(w http.ResponseWriter, reason, after string) {
 	w.Header().Set(call.HeaderStatus, string(call.NotRun))
 	w.Header().Set(call.HeaderReason, reason)
-	w.Header().Set("Retry-After", "1")
+	if after != "" {
+		w.Header().Set("Retry-After", after)
+	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
