--- a/cmd/oatpin/demo.go
+++ b/cmd/oatpin/demo.go
@@ -38,6 +38,7 @@
 		&cli.DurationFlag{Name: "duration", Value: 5 * time.Second, Usage: "how long to send load"},
 		&cli.Float64Flag{Name: "rate", Value: 400, Usage: "requests a second to each deployment"},
 		&cli.StringFlag{Name: "timeline", Usage: "file for the time line (default standard error)"},
+		&cli.BoolFlag{Name: "any-port", Usage: "move every instance to free loopback ports instead of those in the texts"},
 	},
 	Action: func(c *cli.Context) error {
 		lg, closer, err := timeline.Open(c.String("timeline"), "demo")
@@ -46,7 +47,7 @@
 		}
 		defer closer.Close()
 		for _, d := range deployments {
-			m, err := demo.Start(demo.Config{Text: d.text, Platform: d.platform, Log: lg})
+			m, err := demo.Start(demo.Config{Text: d.text, Platform: d.platform, AnyPort: c.Bool("any-port"), Log: lg})
 			if err != nil {
 				return err
 			}
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -20,7 +20,11 @@
 	Config struct {
 		Text     []byte
 		Platform string // host:port of the platform stand-in; port 0 for any
-		Log      log.Interface
+		// AnyPort moves every instance to fresh loopback ports, rewriting
+		// the text, so that meshes started side by side (tests) never
+		// collide.
+		AnyPort bool
+		Log     log.Interface
 	}
 
 	// Mesh is one running deployment.
@@ -40,79 +44,76 @@
 	if cfg.Log == nil {
 		cfg.Log = log.Log
 	}
-	g, err := callgraph.Parse(cfg.Text)
+	text, bound, err := bind(cfg)
 	if err != nil {
 		return nil, err
 	}
-	m := &Mesh{Graph: g, Nodes: map[string]*node.Node{}, Targets: map[string]*target.Target{}}
-	m.Platform, err = platform.New(platform.Config{Text: cfg.Text, Log: cfg.Log.WithField("process", "platform")})
+	g, err := callgraph.Parse(text)
 	if err != nil {
+		closeBound(bound)
 		return nil, err
 	}
-	paddr, err := m.listen(cfg.Platform, m.Platform.Handler())
+	m := &Mesh{Graph: g, Nodes: map[string]*node.Node{}, Targets: map[string]*target.Target{}}
+	m.Platform, err = platform.New(platform.Config{Text: text, Log: cfg.Log.WithField("process", "platform")})
+	if err == nil {
+		var paddr string
+		paddr, err = m.listen(cfg.Platform, m.Platform.Handler())
+		m.PlatformURL = "http://" + paddr
+	}
 	if err != nil {
+		closeBound(bound)
 		return nil, err
 	}
-	m.PlatformURL = "http://" + paddr
-	// Every node's addresses are bound before any target takes a port of
-	// its own: a target on port 0 could otherwise be handed a port the
-	// text names for a node that has not started yet.
-	var bound []listeners
 	for _, name := range g.Names() {
 		for _, in := range g.Services[name].Instances {
-			ls, err := listen(in)
-			if err != nil {
-				closeAll(bound)
+			pair := bound[in.Name]
+			delete(bound, in.Name)
+			if err := m.startInstance(cfg.Log, name, in, pair); err != nil {
+				closeBound(bound)
+				m.Stop(context.Background())
 				return nil, err
 			}
-			bound = append(bound, ls)
-		}
-	}
-	for i, ls := range bound {
-		if err := m.startInstance(cfg.Log, ls); err != nil {
-			closeAll(bound[i:])
-			m.Stop(context.Background())
-			return nil, err
 		}
 	}
 	return m, nil
 }
 
-// listeners are the bound addresses of one instance's node.
-type listeners struct {
-	in   callgraph.Instance
-	http net.Listener
-	peer net.Listener
-}
-
-func listen(in callgraph.Instance) (listeners, error) {
-	hl, err := net.Listen("tcp", in.HTTP)
-	if err != nil {
-		return listeners{}, eris.Wrapf(err, "listen %s", in.HTTP)
+// bind opens every node's listeners before any target takes a port of its
+// own: a target on port 0 could otherwise be handed a port the text names
+// for a node that has not started yet.
+func bind(cfg Config) ([]byte, map[string][2]net.Listener, error) {
+	if cfg.AnyPort {
+		return relocate(cfg.Text)
 	}
-	pl, err := net.Listen("tcp", in.Peer)
+	g, err := callgraph.Parse(cfg.Text)
 	if err != nil {
-		hl.Close()
-		return listeners{}, eris.Wrapf(err, "listen %s", in.Peer)
+		return nil, nil, err
 	}
-	return listeners{in: in, http: hl, peer: pl}, nil
-}
-
-func closeAll(ls []listeners) {
-	for _, l := range ls {
-		l.http.Close()
-		l.peer.Close()
+	bound := map[string][2]net.Listener{}
+	for _, name := range g.Names() {
+		for _, in := range g.Services[name].Instances {
+			var pair [2]net.Listener
+			for i, addr := range []string{in.HTTP, in.Peer} {
+				if pair[i], err = net.Listen("tcp", addr); err != nil {
+					closeBound(bound)
+					closeBound(map[string][2]net.Listener{"": pair})
+					return nil, nil, eris.Wrapf(err, "listen %s", addr)
+				}
+			}
+			bound[in.Name] = pair
+		}
 	}
+	return cfg.Text, bound, nil
 }
 
 // startInstance starts the stand-in target of one instance on any free
 // loopback port, then its node on the addresses the text gives.
-func (m *Mesh) startInstance(lg log.Interface, ls listeners) error {
-	in := ls.in
-	service, _, _ := m.Graph.Instance(in.Name)
-	t := target.New(target.Config{Service: service.Name, Graph: m.Graph, Node: "http://" + in.HTTP})
+func (m *Mesh) startInstance(lg log.Interface, service string, in callgraph.Instance, ls [2]net.Listener) error {
+	t := target.New(target.Config{Service: service, Graph: m.Graph, Node: "http://" + in.HTTP})
 	taddr, err := m.listen("127.0.0.1:0", t.Handler())
 	if err != nil {
+		ls[0].Close()
+		ls[1].Close()
 		return err
 	}
 	m.Targets[in.Name] = t
@@ -122,7 +123,7 @@
 		Graph: m.Graph,
 		Log:   lg.WithField("process", in.Name),
 	})
-	go n.ServeOn(ls.http, ls.peer)
+	go n.ServeOn(ls[0], ls[1])
 	m.Nodes[in.Name] = n
 	return nil
 }
@@ -133,10 +134,15 @@
 	if err != nil {
 		return "", eris.Wrapf(err, "listen %s", addr)
 	}
+	return m.serve(l, h), nil
+}
+
+// serve serves h on l and returns l's address.
+func (m *Mesh) serve(l net.Listener, h http.Handler) string {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
 	m.servers = append(m.servers, s)
 	go s.Serve(l)
-	return l.Addr().String(), nil
+	return l.Addr().String()
 }
 
 // Stop shuts every node down gracefully, then the targets and platform.
--- a/demo/relocate.go
+++ b/demo/relocate.go
@@ -9,43 +9,47 @@
 	"gopkg.in/ini.v1"
 )
 
-// Relocate returns text with every instance's http and peer address moved to
-// a loopback port that was free a moment ago, so that several meshes (tests,
-// a demo beside a running one) do not collide. The ports are found by
-// listening on port 0 and closing; another process could take one in between,
-// and Start then fails with the address in use.
-func Relocate(text []byte) ([]byte, error) {
+// relocate binds two fresh loopback listeners for every instance section of
+// text and returns the text rewritten with their addresses, with the
+// listeners by instance name. The listeners stay open and are handed to the
+// nodes, so no other socket can take a port between choosing and serving.
+func relocate(text []byte) ([]byte, map[string][2]net.Listener, error) {
 	f, err := ini.Load(text)
 	if err != nil {
-		return nil, eris.Wrap(err, "relocate")
+		return nil, nil, eris.Wrap(err, "relocate")
 	}
+	bound := map[string][2]net.Listener{}
 	for _, s := range f.Sections() {
-		if !strings.Contains(s.Name(), ".instance.") {
+		_, name, ok := strings.Cut(s.Name(), ".instance.")
+		if !ok {
 			continue
 		}
-		for _, key := range []string{"http", "peer"} {
-			addr, err := freePort()
+		var pair [2]net.Listener
+		for i, key := range []string{"http", "peer"} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
-				return nil, err
+				closeBound(bound)
+				return nil, nil, eris.Wrap(err, "relocate")
 			}
-			s.Key(key).SetValue(addr)
+			pair[i] = l
+			s.Key(key).SetValue(l.Addr().String())
 		}
+		bound[name] = pair
 	}
 	var b bytes.Buffer
 	if _, err := f.WriteTo(&b); err != nil {
-		return nil, eris.Wrap(err, "relocate")
+		closeBound(bound)
+		return nil, nil, eris.Wrap(err, "relocate")
 	}
-	return b.Bytes(), nil
+	return b.Bytes(), bound, nil
 }
 
-// freePort returns a loopback address whose port the kernel just handed out
-// and was then released; the target's port (HTTP port plus an offset) is not
-// checked here.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "find a free port")
+func closeBound(bound map[string][2]net.Listener) {
+	for _, pair := range bound {
+		for _, l := range pair {
+			if l != nil {
+				l.Close()
+			}
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
 }
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -21,12 +21,8 @@
 // startMesh runs text on free loopback ports until the test ends.
 func startMesh(t *testing.T, text []byte) *demo.Mesh {
 	t.Helper()
-	text, err := demo.Relocate(text)
-	if err != nil {
-		t.Fatal(err)
-	}
 	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
-	m, err := demo.Start(demo.Config{Text: text, Platform: "127.0.0.1:0", Log: quiet})
+	m, err := demo.Start(demo.Config{Text: text, Platform: "127.0.0.1:0", AnyPort: true, Log: quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
