--- a/callgraph/errors.go
+++ b/callgraph/errors.go
@@ -33,6 +33,10 @@
 	var b strings.Builder
 	b.WriteString(ErrInvalid.Error())
 	for _, p := range e.Problems {
+		if p.Line == 0 {
+			fmt.Fprintf(&b, "\n  whole text: %s", p.Reason)
+			continue
+		}
 		fmt.Fprintf(&b, "\n  line %d: %s", p.Line, p.Reason)
 	}
 	return b.String()
--- a/callgraph/parse.go
+++ b/callgraph/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -39,6 +40,7 @@
 	}
 	p.check(g)
 	if len(p.problems) > 0 {
+		slices.SortStableFunc(p.problems, func(a, b Problem) int { return a.Line - b.Line })
 		return nil, &TextError{Problems: p.problems}
 	}
 	return g, nil
