Test the whole path through separate processes, and a graceful stop by SIGTERM

The test builds the oatpin binary and starts the platform, two nodes and two targets as separate processes, each from its own settings file on loopback ports picked below the ephemeral range. An approval crosses freigabe's node, its target, archiv's node and archiv's target. Then SIGTERM goes to archiv's node while a 1.5 s store is in flight: the slow approval finishes 200, the next approval is answered not_run with Retry-After well before its 5 s deadline, and freigabe's target committed nothing for it. The three time lines merge in time order.

--- /dev/null
+++ b/cmd/oatpin/process_test.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/timeline"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// fleet is a set of oatpin processes started by a test, each from its own
+// settings file, killed when the test ends.
+type fleet struct {
+	t     *testing.T
+	bin   string
+	dir   string
+	procs map[string]*exec.Cmd
+}
+
+func newFleet(t *testing.T) *fleet {
+	dir := t.TempDir()
+	bin := filepath.Join(dir, "oatpin")
+	build := exec.Command("go", "build", "-o", bin, ".")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	f := &fleet{t: t, bin: bin, dir: dir, procs: map[string]*exec.Cmd{}}
+	t.Cleanup(func() {
+		for _, p := range f.procs {
+			p.Process.Kill()
+			p.Wait()
+		}
+	})
+	return f
+}
+
+// start runs one role from settings text and waits until addr accepts.
+func (f *fleet) start(name, role, settings, addr string) *exec.Cmd {
+	path := filepath.Join(f.dir, name+".ini")
+	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
+		f.t.Fatal(err)
+	}
+	cmd := exec.Command(f.bin, role, "-s", path)
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.procs[name] = cmd
+	for range 100 {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			return cmd
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.t.Fatalf("%s did not listen on %s", name, addr)
+	return nil
+}
+
+// freePorts returns n loopback ports that were free, picked below the
+// kernel's ephemeral range so that outgoing connections do not take them
+// between this check and the process binding them.
+func freePorts(t *testing.T, n int) []int {
+	var ports []int
+	for len(ports) < n {
+		p := 20000 + rand.IntN(10000)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err != nil {
+			continue
+		}
+		l.Close()
+		ports = append(ports, p)
+	}
+	return ports
+}
+
+// timeline names the time line file of one process.
+func (f *fleet) timeline(name string) string { return filepath.Join(f.dir, name+".jsonl") }
+
+func get(url string) (*http.Response, string, error) { return do(http.MethodGet, url) }
+
+func post(url string) (*http.Response, string, error) { return do(http.MethodPost, url) }
+
+// do sends one request with no body and reads the whole answer.
+func do(method, url string) (*http.Response, string, error) {
+	req, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp, string(body), nil
+}
+
+// An operator stops archiv's node with SIGTERM while an approval is being
+// stored slowly behind it. The approval must finish whole; the editor who
+// sends the next approval must be told at once that it did not run and
+// when to come back, and nothing of it may run. Every role runs as its own
+// process here, started from its own settings file.
+func TestSeparateProcessesServeAndStopGracefully(t *testing.T) {
+	f := newFleet(t)
+	p := freePorts(t, 7)
+	text, err := os.ReadFile("testdata/pair.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := strings.NewReplacer("PORT_A_HTTP", fmt.Sprint(p[0]), "PORT_A_PEER", fmt.Sprint(p[1]),
+		"PORT_B_HTTP", fmt.Sprint(p[2]), "PORT_B_PEER", fmt.Sprint(p[3])).Replace(string(text))
+	cfgPath := filepath.Join(f.dir, "text.ini")
+	os.WriteFile(cfgPath, []byte(cfg), 0o644)
+	platform := fmt.Sprintf("127.0.0.1:%d", p[4])
+	f.start("platform", "platform", fmt.Sprintf("[platform]\nhttp = %s\nconfig = %s\ntimeline = %s\n", platform, cfgPath, f.timeline("platform")), platform)
+	nodes := []struct{ name, service, http, peer, target string }{
+		{"freigabe-1", "freigabe", fmt.Sprint(p[0]), fmt.Sprint(p[1]), fmt.Sprint(p[5])},
+		{"archiv-1", "archiv", fmt.Sprint(p[2]), fmt.Sprint(p[3]), fmt.Sprint(p[6])},
+	}
+	for _, n := range nodes {
+		f.start(n.name, "node", fmt.Sprintf("[node]\ninstance = %s\ndc = halle-nord\nhttp = 127.0.0.1:%s\npeer = 127.0.0.1:%s\ntarget = http://127.0.0.1:%s\nplatform = http://%s\ntimeline = %s\n",
+			n.name, n.http, n.peer, n.target, platform, f.timeline(n.name)), "127.0.0.1:"+n.http)
+		f.start(n.name+"-target", "target", fmt.Sprintf("[target]\nservice = %s\nhttp = 127.0.0.1:%s\nnode = http://127.0.0.1:%s\nplatform = http://%s\n",
+			n.service, n.target, n.http, platform), "127.0.0.1:"+n.target)
+	}
+	entry := "http://127.0.0.1:" + nodes[0].http + "/v1/call/freigabe/"
+
+	Convey("An approval crosses two nodes and two targets, each its own process", t, func() {
+		var resp *http.Response
+		var body string
+		for range 50 { // the nodes fetch the text from the platform first
+			resp, body, err = post(entry + "approve")
+			if err == nil && resp.StatusCode == http.StatusOK {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		So(err, ShouldBeNil)
+		So(resp.StatusCode, ShouldEqual, http.StatusOK)
+		So(body, ShouldContainSubstring, "archiv.store")
+	})
+
+	Convey("SIGTERM to archiv's node lets the slow approval finish and refuses the next at once", t, func() {
+		slow := make(chan int, 1)
+		go func() {
+			resp, _, err := post(entry + "approve_slowly")
+			if err != nil {
+				slow <- 0
+				return
+			}
+			slow <- resp.StatusCode
+		}()
+		time.Sleep(300 * time.Millisecond)
+		So(f.procs["archiv-1"].Process.Signal(syscall.SIGTERM), ShouldBeNil)
+		time.Sleep(200 * time.Millisecond)
+		t0 := time.Now()
+		resp, _, err := post(entry + "approve")
+		So(err, ShouldBeNil)
+		// Not held back toward the 5 s deadline: answered in well under half.
+		So(time.Since(t0), ShouldBeLessThan, 2500*time.Millisecond)
+		So(resp.Header.Get(call.HeaderStatus), ShouldEqual, string(call.NotRun))
+		So(resp.Header.Get("Retry-After"), ShouldNotBeEmpty)
+		refused := resp.Header.Get(call.HeaderRequestID)
+		So(<-slow, ShouldEqual, http.StatusOK)
+
+		_, effects, err := get("http://127.0.0.1:" + nodes[0].target + "/admin/effects")
+		So(err, ShouldBeNil)
+		So(effects, ShouldNotContainSubstring, refused)
+	})
+
+	Convey("The processes' time lines merge into one, in order of time", t, func() {
+		var out strings.Builder
+		files, _ := filepath.Glob(filepath.Join(f.dir, "*.jsonl"))
+		So(len(files), ShouldEqual, 3)
+		So(timeline.Merge(&out, files...), ShouldBeNil)
+		merged := out.String()
+		So(merged, ShouldContainSubstring, `"process":"archiv-1"`)
+		So(strings.Index(merged, "config_accepted"), ShouldBeLessThan, strings.Index(merged, "node_leaving"))
+	})
+}
