--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -150,6 +150,17 @@
 	return l.Addr().String()
 }
 
+// Versions returns the text version in force at each node, by instance.
+func (m *Mesh) Versions() map[string]callgraph.Version {
+	out := make(map[string]callgraph.Version, len(m.Nodes))
+	for name, n := range m.Nodes {
+		if g := n.Graph(); g != nil {
+			out[name] = g.Version
+		}
+	}
+	return out
+}
+
 // TargetURL returns the base URL of an instance's stand-in target.
 func (m *Mesh) TargetURL(instance string) string { return m.targetURLs[instance] }
 
--- a/node/config.go
+++ b/node/config.go
@@ -20,10 +20,10 @@
 	watchBackoff = time.Second
 )
 
-// apply puts g in force if it is newer than the text in force. A node that
-// paused and wakes holding an older text can only move forward: the version
-// is compared and swapped in one step.
-func (n *Node) apply(g *callgraph.Graph) bool {
+// Apply puts g in force if it is newer than the text in force and reports
+// whether it did. A node that paused and wakes holding an older text can
+// only move forward: the version is compared and swapped in one step.
+func (n *Node) Apply(g *callgraph.Graph) bool {
 	for {
 		cur := n.graph.Load()
 		if cur != nil && g.Version <= cur.Version {
@@ -116,14 +116,14 @@
 	if err != nil {
 		return eris.Wrapf(err, "config from %s", url)
 	}
-	n.apply(g)
+	n.Apply(g)
 	return nil
 }
 
-// onPeerVersion learns from an answer that a peer holds a newer text and
-// fetches it from that peer: this spreads a text while the platform is
-// down for late joiners.
-func (n *Node) onPeerVersion(peer string, v uint64) {
+// onPeerVersion learns from a frame that the peer instance holds a newer
+// text and fetches it from that peer's node: this spreads a text while the
+// platform is down or stale for late joiners.
+func (n *Node) onPeerVersion(instance string, v uint64) {
 	if v <= n.version() || !n.fetching.CompareAndSwap(false, true) {
 		return
 	}
@@ -132,13 +132,9 @@
 		n.fetching.Store(false)
 		return
 	}
-	for _, s := range g.Services {
-		for _, in := range s.Instances {
-			if in.Peer == peer {
-				go n.fetchFromPeer(in.HTTP)
-				return
-			}
-		}
+	if _, in, ok := g.Instance(instance); ok {
+		go n.fetchFromPeer(in.HTTP)
+		return
 	}
 	n.fetching.Store(false)
 }
--- /dev/null
+++ b/node/config_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/examples"
+	"github.com/oatpin/oatpin/settings"
+	"pgregory.net/rapid"
+)
+
+// A node pauses, wakes late and applies the text it fetched before the
+// pause, while newer texts have arrived from the platform and from peers
+// in the meantime. Whatever the order and however many arrive at once, the
+// version in force must be the newest seen and never go back.
+func TestApplyNeverGoesBack(t *testing.T) {
+	base, err := callgraph.Parse(examples.KesslerRaab)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		n := New(Config{Settings: nodeSettings("archiv-1")})
+		versions := rapid.SliceOfN(rapid.Uint64Range(1, 50), 1, 40).Draw(t, "versions")
+		var wg sync.WaitGroup
+		seen := make(chan callgraph.Version, len(versions))
+		for _, v := range versions {
+			g := *base
+			g.Version = callgraph.Version(v)
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				n.Apply(&g)
+				seen <- n.Graph().Version
+			}()
+		}
+		wg.Wait()
+		close(seen)
+		var newest uint64
+		for _, v := range versions {
+			newest = max(newest, v)
+		}
+		if got := uint64(n.Graph().Version); got != newest {
+			t.Fatalf("in force %d, newest applied %d", got, newest)
+		}
+		if s, _, _ := n.Graph().Instance("archiv-1"); s == nil || n.admission.InFlight() != 0 {
+			t.Fatalf("graph in force lost its instance")
+		}
+	})
+}
+
+func nodeSettings(instance string) (s settings.Node) {
+	s.Instance = instance
+	s.DC = "halle-nord"
+	s.HTTP = "127.0.0.1:0"
+	s.Peer = "127.0.0.1:0"
+	s.Target = "http://127.0.0.1:1"
+	s.Platform = fmt.Sprintf("http://127.0.0.1:%d", 1)
+	return s
+}
--- a/node/node.go
+++ b/node/node.go
@@ -89,17 +89,17 @@
 		n.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
 	}
 	n.stats = newStats(cfg.Settings.Instance)
-	n.peers = newPeers(n.log, n.onPeerVersion)
+	n.peers = newPeers(n.log, cfg.Settings.Instance, n.onPeerVersion)
 	n.local = filter.Chain(filter.HandlerFunc(n.callTarget),
 		filter.Deadline(),
 		filter.Drain(&n.leaving),
 		n.dedup.Filter(),
 		n.admission.Filter(),
 	)
-	n.wire = wire.Server{Handler: n.servePeer, Version: n.version}
+	n.wire = wire.Server{Handler: n.servePeer, Version: n.version, OnVersion: n.onPeerVersion}
 	n.http = &http.Server{Handler: n.routes(), ReadHeaderTimeout: 5 * time.Second}
 	if cfg.Graph != nil {
-		n.apply(cfg.Graph)
+		n.Apply(cfg.Graph)
 	}
 	return n
 }
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -41,7 +41,7 @@
 			break
 		}
 		tried[in.Name] = true
-		conn, err := n.peers.get(ctx, in.Peer)
+		conn, err := n.peers.get(ctx, in)
 		if err != nil {
 			n.table.Avoid(in.Name, time.Now().Add(avoidAfterDial))
 			continue
--- a/node/peers.go
+++ b/node/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/wire"
 )
 
@@ -20,19 +21,21 @@
 // peers holds one multiplexed connection per peer node address.
 type peers struct {
 	log      log.Interface
-	onConfig func(addr string, version uint64)
+	from     string // this node's instance name
+	onConfig func(instance string, version uint64)
 
 	mu    sync.Mutex
 	conns map[string]*wire.Conn
 }
 
-func newPeers(l log.Interface, onConfig func(string, uint64)) *peers {
-	return &peers{log: l, onConfig: onConfig, conns: map[string]*wire.Conn{}}
+func newPeers(l log.Interface, from string, onConfig func(string, uint64)) *peers {
+	return &peers{log: l, from: from, onConfig: onConfig, conns: map[string]*wire.Conn{}}
 }
 
-// get returns the open connection to addr, dialling one if there is none or
-// the last one closed.
-func (p *peers) get(ctx context.Context, addr string) (*wire.Conn, error) {
+// get returns the open connection to an instance's node, dialling one if
+// there is none or the last one closed.
+func (p *peers) get(ctx context.Context, in callgraph.Instance) (*wire.Conn, error) {
+	addr := in.Peer
 	p.mu.Lock()
 	c := p.conns[addr]
 	p.mu.Unlock()
@@ -41,7 +44,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := wire.Dial(ctx, addr, func(v uint64) { p.onConfig(addr, v) })
+	c, err := wire.Dial(ctx, addr, wire.DialConfig{From: p.from, OnVersion: func(v uint64) { p.onConfig(in.Name, v) }})
 	if err != nil {
 		return nil, err
 	}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -12,6 +12,12 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// DialConfig is what a Conn is built from.
+type DialConfig struct {
+	From      string         // this node's instance name, sent with each request
+	OnVersion func(v uint64) // told the text version each answer carries; may be nil
+}
+
 // Conn is the calling side of one connection to a peer node. It is safe for
 // concurrent use; calls share the connection and are told apart by stream.
 type Conn struct {
@@ -23,13 +29,12 @@
 	pending map[Stream]waiter
 	err     error
 	done    chan struct{}
-	peerCfg func(uint64)
+	cfg     DialConfig
 	pong    chan Stream
 }
 
-// Dial opens a connection to a peer's msgpack listener at addr. onConfig, if
-// not nil, is told the text version each answer carries.
-func Dial(ctx context.Context, addr string, onConfig func(uint64)) (*Conn, error) {
+// Dial opens a connection to a peer's msgpack listener at addr.
+func Dial(ctx context.Context, addr string, cfg DialConfig) (*Conn, error) {
 	var d net.Dialer
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -42,7 +47,7 @@
 		enc:     msgpack.NewEncoder(w),
 		pending: map[Stream]waiter{},
 		done:    make(chan struct{}),
-		peerCfg: onConfig,
+		cfg:     cfg,
 		pong:    make(chan Stream, 1),
 	}
 	go c.read()
@@ -62,7 +67,7 @@
 	c.next++
 	s := c.next
 	c.pending[s] = waiter{id: r.ID, ch: ch}
-	err := c.write(Frame{Kind: KindRequest, Stream: s, Request: &r, Config: version})
+	err := c.write(Frame{Kind: KindRequest, Stream: s, Request: &r, Config: version, From: c.cfg.From})
 	c.mu.Unlock()
 	if err != nil {
 		c.forget(s)
@@ -174,8 +179,8 @@
 			if f.Answer == nil {
 				continue
 			}
-			if c.peerCfg != nil {
-				c.peerCfg(f.Config)
+			if c.cfg.OnVersion != nil {
+				c.cfg.OnVersion(f.Config)
 			}
 			c.deliver(f.Stream, *f.Answer)
 		}
--- a/wire/conn_bench_test.go
+++ b/wire/conn_bench_test.go
@@ -24,7 +24,7 @@
 		return call.Answer{ID: r.ID, Status: call.OK, Body: r.Body}
 	}}
 	go s.Serve(l)
-	c, err := Dial(context.Background(), l.Addr().String(), nil)
+	c, err := Dial(context.Background(), l.Addr().String(), DialConfig{})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -86,7 +86,7 @@
 		runtime.ReadMemStats(&before)
 		cs := make([]*Conn, conns)
 		for i := range cs {
-			if cs[i], err = Dial(context.Background(), l.Addr().String(), nil); err != nil {
+			if cs[i], err = Dial(context.Background(), l.Addr().String(), DialConfig{}); err != nil {
 				b.Fatal(err)
 			}
 			cs[i].Ping(time.Second) // both sides have set up their buffers
--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -61,7 +61,7 @@
 		}
 		defer l.Close()
 		go shuffledPeer(t, l, n, perm)
-		c, err := Dial(context.Background(), l.Addr().String(), nil)
+		c, err := Dial(context.Background(), l.Addr().String(), DialConfig{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -111,7 +111,7 @@
 				time.Sleep(2 * time.Second) // reads nothing, answers nothing
 			}
 		}()
-		c, err := Dial(context.Background(), l.Addr().String(), nil)
+		c, err := Dial(context.Background(), l.Addr().String(), DialConfig{})
 		So(err, ShouldBeNil)
 		err = c.Ping(100 * time.Millisecond)
 		So(err, ShouldEqual, ErrSilent)
@@ -129,7 +129,7 @@
 		go s.Serve(l)
 		defer l.Close()
 		var seen uint64
-		c, err := Dial(context.Background(), l.Addr().String(), func(v uint64) { seen = v })
+		c, err := Dial(context.Background(), l.Addr().String(), DialConfig{OnVersion: func(v uint64) { seen = v }})
 		So(err, ShouldBeNil)
 		defer c.Close()
 		a, err := c.Call(context.Background(), call.Request{ID: "r1", Body: []byte("hi")}, 1)
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -18,7 +18,8 @@
 		Stream  Stream        `msgpack:"stream"`
 		Request *call.Request `msgpack:"request,omitempty"`
 		Answer  *call.Answer  `msgpack:"answer,omitempty"`
-		Config  uint64        `msgpack:"config"` // version of the text in force at the sender
+		Config  uint64        `msgpack:"config"`         // version of the text in force at the sender
+		From    string        `msgpack:"from,omitempty"` // instance name of the sender of a request
 	}
 )
 
--- a/wire/server.go
+++ b/wire/server.go
@@ -19,6 +19,9 @@
 	Server struct {
 		Handler Handler
 		Version func() uint64 // text version in force, sent with every answer
+		// OnVersion, if not nil, is told the sender and text version of
+		// each request.
+		OnVersion func(from string, v uint64)
 
 		mu    sync.Mutex
 		conns map[net.Conn]struct{}
@@ -95,6 +98,9 @@
 			if f.Request == nil {
 				continue
 			}
+			if s.OnVersion != nil && f.From != "" {
+				s.OnVersion(f.From, f.Config)
+			}
 			s.wg.Add(1)
 			go func(f Frame) {
 				defer s.wg.Done()
