--- a/node/spread_test.go
+++ b/node/spread_test.go
@@ -18,7 +18,9 @@
 
 // waitVersion polls until every node holds version v or the bound passes,
 // and returns the nodes that do not.
-func waitVersion(m interface{ Versions() map[string]callgraph.Version }, v callgraph.Version) []string {
+func waitVersion(m interface {
+	Versions() map[string]callgraph.Version
+}, v callgraph.Version) []string {
 	deadline := time.Now().Add(inForce)
 	for {
 		var behind []string
