Follow the platform's VM list: leaving peers get no calls, a node listed as leaving drains

Cause: nodes never read the VM list, so a VM the platform marked as leaving went on getting calls until its own node stopped. New controller node.watchVMs reads /v1/vms every 5 s (0.5 s in the test): peers listed as leaving are skipped by routing, and a node that finds its own instance listed starts to drain (node_leaving_by_vm_list).

Cost at the planned size: 1,100 / 5 s = 220 reads/s at the platform.

--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -24,6 +24,7 @@
 		// the text, so that meshes started side by side (tests) never
 		// collide.
 		AnyPort bool
+		VMPoll  time.Duration // how often nodes read the VM list; 0 for their default
 		Log     log.Interface
 	}
 
@@ -69,7 +70,7 @@
 		for _, in := range g.Services[name].Instances {
 			pair := bound[in.Name]
 			delete(bound, in.Name)
-			if err := m.startInstance(cfg.Log, name, in, pair); err != nil {
+			if err := m.startInstance(cfg, name, in, pair); err != nil {
 				closeBound(bound)
 				m.Stop(context.Background())
 				return nil, err
@@ -109,7 +110,7 @@
 
 // startInstance starts the stand-in target of one instance on any free
 // loopback port, then its node on the addresses the text gives.
-func (m *Mesh) startInstance(lg log.Interface, service string, in callgraph.Instance, ls [2]net.Listener) error {
+func (m *Mesh) startInstance(cfg Config, service string, in callgraph.Instance, ls [2]net.Listener) error {
 	t := target.New(target.Config{Service: service, Graph: m.Graph, Node: "http://" + in.HTTP})
 	taddr, err := m.listen("127.0.0.1:0", t.Handler())
 	if err != nil {
@@ -125,8 +126,9 @@
 	n := node.New(node.Config{
 		Settings: settings.Node{Instance: in.Name, DC: in.DC, HTTP: in.HTTP, Peer: in.Peer,
 			Target: "http://" + taddr, Platform: m.PlatformURL},
-		Graph: m.Graph,
-		Log:   lg.WithField("process", in.Name),
+		Graph:  m.Graph,
+		Log:    cfg.Log.WithField("process", in.Name),
+		VMPoll: cfg.VMPoll,
 	})
 	go n.ServeOn(ls[0], ls[1])
 	m.Nodes[in.Name] = n
--- a/node/node.go
+++ b/node/node.go
@@ -43,7 +43,8 @@
 		Settings settings.Node
 		Graph    *callgraph.Graph // text to start with; nil to wait for the platform
 		Log      log.Interface
-		Client   *http.Client // for the local target and the platform; nil for a default
+		Client   *http.Client  // for the local target and the platform; nil for a default
+		VMPoll   time.Duration // how often to read the VM list; 0 for 5 s
 	}
 
 	// Node is one running node.
@@ -121,6 +122,7 @@
 // ServeOn runs on listeners the caller opened, until Shutdown.
 func (n *Node) ServeOn(hl, pl net.Listener) error {
 	go n.watchConfig()
+	go n.watchVMs()
 	go n.peers.keepAlive(n.stop)
 	go n.wire.Serve(pl)
 	n.log.WithFields(log.Fields{"http": hl.Addr().String(), "peer": pl.Addr().String()}).Info("node_started")
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -21,8 +21,16 @@
 // startMesh runs text on free loopback ports until the test ends.
 func startMesh(t testing.TB, text []byte) *demo.Mesh {
 	t.Helper()
-	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
-	m, err := demo.Start(demo.Config{Text: text, Platform: "127.0.0.1:0", AnyPort: true, Log: quiet})
+	return startMeshWith(t, demo.Config{Text: text})
+}
+
+// startMeshWith runs cfg on free loopback ports, quietly, until the test
+// ends.
+func startMeshWith(t testing.TB, cfg demo.Config) *demo.Mesh {
+	t.Helper()
+	cfg.Platform, cfg.AnyPort = "127.0.0.1:0", true
+	cfg.Log = &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	m, err := demo.Start(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
