Add the slowdown experiment: oatpin against the naive baseline of the same binary

node.Config.Baseline swaps the retry policy (retryPolicy: budgeted or baseline, two retries of any failure at every hop, no budget) and drops admission from the chain. load.Config.RateAt gives a surge; demo.Slowdown slows the deepest service's targets for a window; oatpin experiment runs both modes on examples/slowdown.ini (front -> middle -> deep, deep 2 x 10 slots at 20 ms) and prints a table and the per-second series.

--- a/cmd/oatpin/main.go
+++ b/cmd/oatpin/main.go
@@ -22,6 +22,7 @@
 			platformCommand,
 			loadCommand,
 			timelineCommand,
+			experimentCommand,
 		},
 	}
 	if err := app.Run(os.Args); err != nil {
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -25,7 +25,9 @@
 		// collide.
 		AnyPort bool
 		VMPoll  time.Duration // how often nodes read the VM list; 0 for their default
-		Log     log.Interface
+		// Baseline runs every node as the naive baseline (node.Config.Baseline).
+		Baseline bool
+		Log      log.Interface
 	}
 
 	// Mesh is one running deployment.
@@ -126,9 +128,10 @@
 	n := node.New(node.Config{
 		Settings: settings.Node{Instance: in.Name, DC: in.DC, HTTP: in.HTTP, Peer: in.Peer,
 			Target: "http://" + taddr, Platform: m.PlatformURL},
-		Graph:  m.Graph,
-		Log:    cfg.Log.WithField("process", in.Name),
-		VMPoll: cfg.VMPoll,
+		Graph:    m.Graph,
+		Log:      cfg.Log.WithField("process", in.Name),
+		VMPoll:   cfg.VMPoll,
+		Baseline: cfg.Baseline,
 	})
 	go n.ServeOn(ls[0], ls[1])
 	m.Nodes[in.Name] = n
--- a/examples/embed.go
+++ b/examples/embed.go
@@ -12,4 +12,9 @@
 	// Maracas is the call graph of cache-pages, trackables, logbook and rankings.
 	//go:embed maracas.ini
 	Maracas []byte
+
+	// Slowdown is a three-service chain whose deepest service has few
+	// slots, for the slowdown experiment.
+	//go:embed slowdown.ini
+	Slowdown []byte
 )
--- a/load/load.go
+++ b/load/load.go
@@ -22,9 +22,12 @@
 type (
 	// Config is what a Run is built from.
 	Config struct {
-		Graph    *callgraph.Graph
-		Entries  []callgraph.Ref // operations callers send, picked evenly
-		Rate     float64         // requests a second, sent on time whatever the answers
+		Graph   *callgraph.Graph
+		Entries []callgraph.Ref // operations callers send, picked evenly
+		Rate    float64         // requests a second, sent on time whatever the answers
+		// RateAt, if not nil, gives the rate at each moment of the run
+		// instead of Rate.
+		RateAt   func(elapsed time.Duration) float64
 		Duration time.Duration
 		Retries  int // client retries after a refusal or error, sent at once
 		Client   *http.Client
@@ -61,9 +64,13 @@
 	var wg sync.WaitGroup
 	var open atomic.Int64
 	start := time.Now()
-	interval := time.Duration(float64(time.Second) / cfg.Rate)
+	rate := cfg.RateAt
+	if rate == nil {
+		rate = func(time.Duration) float64 { return cfg.Rate }
+	}
+	at := start
 	for i := 0; ; i++ {
-		at := start.Add(time.Duration(i) * interval)
+		at = at.Add(time.Duration(float64(time.Second) / rate(at.Sub(start))))
 		if at.Sub(start) >= cfg.Duration || ctx.Err() != nil {
 			break
 		}
@@ -164,16 +171,24 @@
 func us(v int64) string { return (time.Duration(v) * time.Microsecond).String() }
 
 // Recovery returns how long after second from the per-second goodput first
-// came back to within 10% of the mean before second, or -1 if it never did.
+// came back to within 10% of its mean over the seconds before warm ended,
+// or -1 if it never did. warm is the number of leading seconds used as the
+// baseline; from is the second the disturbance ended.
 func (r *Report) Recovery(from int) time.Duration {
-	if from <= 0 || from >= len(r.PerSec) {
+	return r.RecoveryAgainst(from, from)
+}
+
+// RecoveryAgainst is Recovery with the baseline taken over the first warm
+// seconds only.
+func (r *Report) RecoveryAgainst(warm, from int) time.Duration {
+	if warm <= 1 || from >= len(r.PerSec) {
 		return -1
 	}
 	var sum int64
-	for _, v := range r.PerSec[:from] {
+	for _, v := range r.PerSec[1:warm] { // second 0 is partly ramp-up
 		sum += v
 	}
-	base := float64(sum) / float64(from)
+	base := float64(sum) / float64(warm-1)
 	for s := from; s < len(r.PerSec)-1; s++ {
 		if float64(r.PerSec[s]) >= 0.9*base {
 			return time.Duration(s-from) * time.Second
--- a/node/node.go
+++ b/node/node.go
@@ -45,6 +45,10 @@
 		Log      log.Interface
 		Client   *http.Client  // for the local target and the platform; nil for a default
 		VMPoll   time.Duration // how often to read the VM list; 0 for 5 s
+		// Baseline makes the node the naive one it is measured against:
+		// no admission by class and a retry of any failure at every hop,
+		// with no budget. Only for experiments.
+		Baseline bool
 	}
 
 	// Node is one running node.
@@ -60,6 +64,7 @@
 		local     filter.Handler
 		peers     *peers
 		client    *http.Client
+		retry     retryPolicy
 		hops      atomic.Uint64
 		fetching  atomic.Bool // a text is being fetched from a peer
 		stats     *stats
@@ -97,6 +102,11 @@
 		n.dedup.Filter(),
 		n.admission.Filter(),
 	)
+	n.retry = budgeted{}
+	if cfg.Baseline {
+		n.local = filter.Chain(filter.HandlerFunc(n.callTarget), filter.Deadline(), filter.Drain(&n.leaving), n.dedup.Filter())
+		n.retry = baseline{}
+	}
 	n.wire = wire.Server{Handler: n.servePeer, Version: n.version, OnVersion: n.onPeerVersion}
 	n.http = &http.Server{Handler: n.routes(), ReadHeaderTimeout: 5 * time.Second}
 	if cfg.Graph != nil {
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -63,7 +63,7 @@
 		if a.Status == call.NotRun && a.RetryAfter > 0 {
 			n.table.Avoid(in.Name, time.Now().Add(a.RetryAfter))
 		}
-		if !a.Retryable(op.Idempotent) || retries >= op.Retries || spent >= lease {
+		if !n.retry.again(a, op, retries, spent, lease) {
 			break
 		}
 		retries++
