Stop avoiding an instance for the whole come-back time of a capacity refusal

Ruled out: the admission cap itself (deep's node refused only when its 10 slots were busy). Avoid is now kept for dial failures and Leaving only; the come-back time still goes to the caller.

--- a/node/outbound.go
+++ b/node/outbound.go
@@ -14,7 +14,9 @@
 const avoidAfterDial = time.Second
 
 // forward routes a call to a node of its service and retries within the
-// budget. The budget comes from the ledger when the call is the local
+// budget. A capacity refusal does not make the node avoid the instance: its
+// come-back time is for the caller, and avoiding every instance that
+// refused once left none to call while slots were free again. The budget comes from the ledger when the call is the local
 // target's (hop set) and from the request at entry. A retry is sent only
 // when the answer says nothing ran, or the operation is idempotent and its
 // outcome is unknown; a re-pick after a refusal that ran nothing because the
@@ -60,9 +62,6 @@
 			n.table.SetLeaving(in.Name, true)
 			continue
 		}
-		if a.Status == call.NotRun && a.RetryAfter > 0 {
-			n.table.Avoid(in.Name, time.Now().Add(a.RetryAfter))
-		}
 		if !n.retry.again(a, op, retries, spent, lease) {
 			break
 		}
