Mend what reads badly: one hop header and one come-back floor, docs that match the code

A newcomer found the hop header named twice (node.HeaderHop and a private copy in target that had to be kept equal by a comment) and the 50 ms come-back floor defined in filter and again in node. Both now live once: call.HeaderHop, filter.MinRetryAfter. wire.Conn.Call's doc said an error could mean an unknown outcome; it means never written, and unknown outcomes come back as an Answer, as the code does. route.Table.Avoid's doc still named capacity refusals. load.Recovery had a doc naming parameters it did not have; only RecoveryAgainst is used and kept. waitVersion takes *demo.Mesh, not an interface literal.

--- a/filter/admission.go
+++ b/filter/admission.go
@@ -11,8 +11,8 @@
 const (
 	// sheddableShare is the share of slots that sheddable calls may fill.
 	sheddableShare = 0.8
-	// minRetryAfter is the least come-back time a refusal names.
-	minRetryAfter = 50 * time.Millisecond
+	// MinRetryAfter is the least come-back time a refusal names.
+	MinRetryAfter = 50 * time.Millisecond
 )
 
 // Admission caps the calls in flight to the local target at its slots. A
@@ -66,7 +66,7 @@
 		limit = int(float64(a.slots) * sheddableShare)
 	}
 	if a.inflight >= limit {
-		return max(minRetryAfter, 2*a.service), false
+		return max(MinRetryAfter, 2*a.service), false
 	}
 	a.inflight++
 	return 0, true
--- a/load/load.go
+++ b/load/load.go
@@ -170,22 +170,15 @@
 
 func us(v int64) string { return (time.Duration(v) * time.Microsecond).String() }
 
-// Recovery returns how long after second from the per-second goodput first
-// came back to within 10% of its mean over the seconds before warm ended,
-// or -1 if it never did. warm is the number of leading seconds used as the
-// baseline; from is the second the disturbance ended.
-func (r *Report) Recovery(from int) time.Duration {
-	return r.RecoveryAgainst(from, from)
-}
-
-// RecoveryAgainst is Recovery with the baseline taken over the first warm
-// seconds only.
+// RecoveryAgainst returns how long after second from the per-second
+// goodput first came back to within 10% of its mean over seconds 1 to warm
+// (second 0 is partly ramp-up), or -1 if it never did.
 func (r *Report) RecoveryAgainst(warm, from int) time.Duration {
 	if warm <= 1 || from >= len(r.PerSec) {
 		return -1
 	}
 	var sum int64
-	for _, v := range r.PerSec[1:warm] { // second 0 is partly ramp-up
+	for _, v := range r.PerSec[1:warm] {
 		sum += v
 	}
 	base := float64(sum) / float64(warm-1)
--- a/node/http.go
+++ b/node/http.go
@@ -11,11 +11,10 @@
 	"github.com/oatpin/oatpin/budget"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/filter"
 )
 
 const (
-	// minRetryAfter is the least come-back time a refusal names.
-	minRetryAfter = 50 * time.Millisecond
 	// headerRetryAfterMs gives Retry-After to the millisecond.
 	headerRetryAfterMs = "Oatpin-Retry-After-Ms"
 	maxBody            = 1 << 20
@@ -55,7 +54,7 @@
 		http.Error(w, ErrUnknownOperation.Error()+": "+r.Service+"."+r.Operation, http.StatusNotFound)
 		return
 	}
-	hop := budget.Hop(req.Header.Get(HeaderHop))
+	hop := budget.Hop(req.Header.Get(call.HeaderHop))
 	if hop == "" {
 		fillEntry(&r, g, op)
 	}
@@ -118,7 +117,7 @@
 		h.Set(call.HeaderReason, a.Reason)
 	}
 	if a.Status == call.NotRun {
-		after := max(a.RetryAfter, minRetryAfter)
+		after := max(a.RetryAfter, filter.MinRetryAfter)
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
 		h.Set(headerRetryAfterMs, strconv.FormatInt(after.Milliseconds(), 10))
 	}
--- a/node/inbound.go
+++ b/node/inbound.go
@@ -15,10 +15,6 @@
 	"github.com/oatpin/oatpin/filter"
 )
 
-// HeaderHop carries the budget.Hop of a call from a node to its target and
-// back on the target's outbound calls.
-const HeaderHop = "Oatpin-Hop"
-
 // hopKey is the context key under which callTarget finds the call's hop.
 type hopKey struct{}
 
@@ -59,12 +55,12 @@
 	}
 	call.WriteHeaders(req.Header, *r)
 	if hop, ok := ctx.Value(hopKey{}).(budget.Hop); ok {
-		req.Header.Set(HeaderHop, string(hop))
+		req.Header.Set(call.HeaderHop, string(hop))
 	}
 	resp, err := n.client.Do(req)
 	if err != nil {
 		if isDialError(err) {
-			return call.Refuse(*r, "target unreachable", minRetryAfter)
+			return call.Refuse(*r, "target unreachable", filter.MinRetryAfter)
 		}
 		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: "target: " + err.Error()}
 	}
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -7,6 +7,7 @@
 	"github.com/oatpin/oatpin/budget"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/filter"
 )
 
 // avoidAfterDial keeps calls away from an instance whose node could not be
@@ -54,7 +55,7 @@
 		a, err = conn.Call(ctx, sent, n.version())
 		if err != nil {
 			// Never written: nothing ran, so this is a re-pick, not a retry.
-			a = call.Refuse(r, err.Error(), minRetryAfter)
+			a = call.Refuse(r, err.Error(), filter.MinRetryAfter)
 			continue
 		}
 		spent += a.RetriesUsed
--- a/node/spread_test.go
+++ b/node/spread_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/demo"
 	"github.com/oatpin/oatpin/examples"
 	"github.com/oatpin/oatpin/platform"
 	. "github.com/smartystreets/goconvey/convey"
@@ -18,9 +19,7 @@
 
 // waitVersion polls until every node holds version v or the bound passes,
 // and returns the nodes that do not.
-func waitVersion(m interface {
-	Versions() map[string]callgraph.Version
-}, v callgraph.Version) []string {
+func waitVersion(m *demo.Mesh, v callgraph.Version) []string {
 	deadline := time.Now().Add(inForce)
 	for {
 		var behind []string
--- a/route/table.go
+++ b/route/table.go
@@ -40,8 +40,9 @@
 	t.mu.Unlock()
 }
 
-// Avoid keeps calls away from an instance until the given time, as when it
-// refused a call with a come-back time or its connection failed.
+// Avoid keeps calls away from an instance until the given time, as when its
+// node could not be dialled. A capacity refusal is no reason: its come-back
+// time is for the caller of that one call.
 func (t *Table) Avoid(name string, until time.Time) {
 	t.mu.Lock()
 	t.avoid[name] = until
--- a/target/target.go
+++ b/target/target.go
@@ -15,10 +15,6 @@
 	"github.com/oatpin/oatpin/callgraph"
 )
 
-// headerHop must match node.HeaderHop; the target copies it to its outbound
-// calls like the other metadata headers.
-const headerHop = "Oatpin-Hop"
-
 type (
 	// Config is what a Target is built from.
 	Config struct {
@@ -215,7 +211,7 @@
 		sub.Remaining = time.Until(dl)
 	}
 	call.WriteHeaders(req.Header, sub)
-	req.Header.Set(headerHop, h.Get(headerHop))
+	req.Header.Set(call.HeaderHop, h.Get(call.HeaderHop))
 	resp, err := t.client.Do(req)
 	if err != nil {
 		return []byte(err.Error()), call.Unknown, ""
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -63,9 +63,10 @@
 	return time.Since(time.Unix(0, c.heard.Load()))
 }
 
-// Call sends r and waits for its answer or ctx's end. An error means the
-// call may or may not have reached the peer: wrapping ErrClosed when it was
-// never written, otherwise the outcome is unknown.
+// Call sends r and waits for its answer or ctx's end. An error (wrapping
+// ErrClosed) means the call was never written, so nothing of it ran. A call
+// that was written but got no answer, because the connection broke or ctx
+// ended, returns an Answer with status Unknown.
 func (c *Conn) Call(ctx context.Context, r call.Request, version uint64) (call.Answer, error) {
 	ch := make(chan call.Answer, 1)
 	c.mu.Lock()
