Count what a lost call was lent as spent, and keep one retry back for it

Cause: wire.Conn.Call answered a call that was sent and never answered with RetriesUsed 0, and forward lent its whole remaining budget to every try. A peer killed after spending its budget below, retried with the same budget again, doubles the request's bound at each such hop.

Ruled out: the ledger (a lease is returned once) and the answered path (RetriesUsed comes back with every answer that arrives).

Change: a lost answer reports the whole budget it was lent; forward keeps one retry back when the operation may use it and another is left to lend.

Conclusion: the bound now holds for lost answers too, not only for answers that arrive.

--- /dev/null
+++ b/node/fake_test.go
@@ -0,0 +1,142 @@
+package node_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/node"
+	"github.com/oatpin/oatpin/settings"
+	"github.com/oatpin/oatpin/wire"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// fakePeer is the node of one instance as the test scripts it: it records
+// every request frame it reads and answers as script says, or breaks the
+// connection when script returns nil.
+type fakePeer struct {
+	addr   string
+	script func(r call.Request) *call.Answer
+
+	mu   sync.Mutex
+	seen []call.Request
+}
+
+func startFakePeer(t testing.TB, script func(r call.Request) *call.Answer) *fakePeer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	p := &fakePeer{addr: l.Addr().String(), script: script}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(nc)
+		}
+	}()
+	return p
+}
+
+func (p *fakePeer) serve(nc net.Conn) {
+	defer nc.Close()
+	dec := msgpack.NewDecoder(bufio.NewReader(nc))
+	enc := msgpack.NewEncoder(nc)
+	for {
+		var f wire.Frame
+		if dec.Decode(&f) != nil {
+			return
+		}
+		if f.Kind != wire.KindRequest {
+			continue
+		}
+		p.mu.Lock()
+		p.seen = append(p.seen, *f.Request)
+		p.mu.Unlock()
+		a := p.script(*f.Request)
+		if a == nil {
+			return
+		}
+		a.ID = f.Request.ID
+		enc.Encode(&wire.Frame{Kind: wire.KindAnswer, Stream: f.Stream, Answer: a})
+	}
+}
+
+func (p *fakePeer) requests() []call.Request {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]call.Request(nil), p.seen...)
+}
+
+// breaksOff is the script of a peer that reads a call and is killed before
+// it answers.
+func breaksOff(call.Request) *call.Answer { return nil }
+
+// fakeText is a text of a service front with one instance, front-1, that
+// calls op of service back, whose instances are the given peers (all in
+// the data centre of front-1); op's lines follow in INI form.
+func fakeText(t testing.TB, op string, peers ...*fakePeer) *callgraph.Graph {
+	t.Helper()
+	var b strings.Builder
+	b.WriteString("version = 1\nretries = 3\n[service.front]\nslots = 10\ndepends_on = back\n" +
+		"[service.front.instance.front-1]\ndc = halle-nord\nhttp = 127.0.0.1:1\npeer = 127.0.0.1:1\n" +
+		"[service.front.operation.step]\nclass = critical\nidempotent = true\ncalls = back.op\n" +
+		"[service.back]\nslots = 10\n[service.back.operation.op]\nclass = critical\ndeadline = 2s\n" + op + "\n")
+	for i, p := range peers {
+		fmt.Fprintf(&b, "[service.back.instance.back-%d]\ndc = halle-nord\nhttp = 127.0.0.1:1\npeer = %s\n", i+1, p.addr)
+	}
+	g, err := callgraph.Parse([]byte(b.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// startNode runs the node of one instance of g alone, before the target at
+// base URL target and with no platform, and returns its own base URL.
+func startNode(t testing.TB, g *callgraph.Graph, instance, target string) string {
+	t.Helper()
+	_, in, ok := g.Instance(instance)
+	if !ok {
+		t.Fatalf("%s is not in the text", instance)
+	}
+	var ls [2]net.Listener
+	for i := range ls {
+		var err error
+		if ls[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n := node.New(node.Config{
+		Settings: settings.Node{Instance: instance, DC: in.DC, Target: target, Platform: "http://127.0.0.1:1"},
+		Graph:    g,
+		Log:      &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
+	})
+	go n.ServeOn(ls[0], ls[1])
+	t.Cleanup(func() { ls[0].Close(); ls[1].Close() })
+	return "http://" + ls[0].Addr().String()
+}
+
+// callOp posts one call of service.op to the node at base and returns the
+// status, the retries the answer admits to and the reason.
+func callOp(t testing.TB, base, service, op string) (call.Status, string, string) {
+	t.Helper()
+	resp, err := http.Post(base+"/v1/call/"+service+"/"+op, "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return call.Status(resp.Header.Get(call.HeaderStatus)), resp.Header.Get(call.HeaderRetries), resp.Header.Get(call.HeaderReason)
+}
--- /dev/null
+++ b/node/lost_answer_test.go
@@ -0,0 +1,30 @@
+package node_test
+
+import (
+	"testing"
+
+	"github.com/oatpin/oatpin/call"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// A peer is killed after it read a call and before it answered. The retries
+// it had already caused below it are never reported, so they count as the
+// whole budget it was given: a caller that handed its whole budget on and
+// then retried with all of it again would double the request's bound at
+// every hop where an answer is lost.
+func TestLostAnswersKeepTheRetryBound(t *testing.T) {
+	Convey("What lost calls may have spent and the retries sent stay within the bound", t, func() {
+		p1, p2 := startFakePeer(t, breaksOff), startFakePeer(t, breaksOff)
+		g := fakeText(t, "idempotent = true\nretries = 2", p1, p2)
+		base := startNode(t, g, "front-1", "http://127.0.0.1:1")
+		st, _, _ := callOp(t, base, "back", "op")
+		So(st, ShouldEqual, call.Unknown)
+		sent := append(p1.requests(), p2.requests()...)
+		So(len(sent), ShouldBeGreaterThanOrEqualTo, 2) // it did retry
+		spent := len(sent) - 1
+		for _, r := range sent {
+			spent += r.Budget
+		}
+		So(spent, ShouldBeLessThanOrEqualTo, g.Retries)
+	})
+}
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -14,6 +14,17 @@
 // dialled.
 const avoidAfterDial = time.Second
 
+// lend returns how many of the retries left go down with one try. One is
+// kept back when this hop could use it and another is left to lend: a lost
+// answer counts as having spent all that was lent, and without the one kept
+// back no lost answer could ever be retried.
+func lend(left int, op *callgraph.Operation) int {
+	if op.Idempotent && op.Retries > 0 && left > 1 {
+		return left - 1
+	}
+	return left
+}
+
 // forward routes a call to a node of its service and retries within the
 // budget. A capacity refusal does not make the node avoid the instance: its
 // come-back time is for the caller, and avoiding every instance that
@@ -51,7 +62,7 @@
 		}
 		sent := r
 		sent.Remaining = time.Until(deadline)
-		sent.Budget = lease - spent
+		sent.Budget = lend(lease-spent, op)
 		a, err = conn.Call(ctx, sent, n.version())
 		if err != nil {
 			// Never written: nothing ran, so this is a re-pick, not a retry.
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -66,7 +66,9 @@
 // Call sends r and waits for its answer or ctx's end. An error (wrapping
 // ErrClosed) means the call was never written, so nothing of it ran. A call
 // that was written but got no answer, because the connection broke or ctx
-// ended, returns an Answer with status Unknown.
+// ended, returns an Answer with status Unknown whose RetriesUsed is the whole
+// budget sent: what the call caused below is never reported, and counting
+// less would let a retry spend the same budget twice.
 func (c *Conn) Call(ctx context.Context, r call.Request, version uint64) (call.Answer, error) {
 	ch := make(chan call.Answer, 1)
 	c.mu.Lock()
@@ -87,15 +89,20 @@
 	select {
 	case a, ok := <-ch:
 		if !ok {
-			return call.Answer{ID: r.ID, Status: call.Unknown, Reason: "connection lost after sending"}, nil
+			return lost(r, "connection lost after sending"), nil
 		}
 		return a, nil
 	case <-ctx.Done():
 		c.forget(s)
-		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: "deadline passed after sending"}, nil
+		return lost(r, "deadline passed after sending"), nil
 	}
 }
 
+// lost is the answer to a call that was sent and never answered.
+func lost(r call.Request, reason string) call.Answer {
+	return call.Answer{ID: r.ID, Status: call.Unknown, Reason: reason, RetriesUsed: r.Budget}
+}
+
 // Ping sends a ping and waits for its pong within timeout. A connection
 // whose pong does not come is closed: this catches connections that a box
 // in between has forgotten, which look open but deliver nothing.
