Never say "not run" when an earlier try of the call may have run

Cause: forward returned the last try's answer. A first try lost with its connection followed by a refusal from another instance ended as not_run, though the first may have run at its target.

Ruled out: the filters and callTarget, which refuse only before dispatch.

Before/after, TestRefusalAfterALostTryIsNotCalledNotRun: not_run, now unknown.

Conclusion: a refusal is passed on only if every try of the call was one.

--- a/node/lost_answer_test.go
+++ b/node/lost_answer_test.go
@@ -28,3 +28,23 @@
 		So(spent, ShouldBeLessThanOrEqualTo, g.Retries)
 	})
 }
+
+// The first try of a read is lost with its connection, after the target may
+// have run it; the second is refused by another instance. The caller must
+// not be told "not run" on the word of the second alone.
+func TestRefusalAfterALostTryIsNotCalledNotRun(t *testing.T) {
+	Convey("A try that may have run makes the answer unknown, not not_run", t, func() {
+		first := true
+		script := func(call.Request) *call.Answer {
+			if first {
+				first = false
+				return nil
+			}
+			return &call.Answer{Status: call.NotRun, Reason: "busy"}
+		}
+		g := fakeText(t, "idempotent = true\nretries = 2", startFakePeer(t, script), startFakePeer(t, script))
+		base := startNode(t, g, "front-1", "http://127.0.0.1:1")
+		st, _, _ := callOp(t, base, "back", "op")
+		So(st, ShouldEqual, call.Unknown)
+	})
+}
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -47,6 +47,7 @@
 		key = r.Key
 	}
 	spent, retries := 0, 0
+	mayHaveRun := false
 	tried := map[string]bool{}
 	a := call.Refuse(r, ErrNoInstance.Error(), time.Second)
 	for ctx.Err() == nil {
@@ -70,6 +71,7 @@
 			continue
 		}
 		spent += a.RetriesUsed
+		mayHaveRun = mayHaveRun || a.Status != call.NotRun
 		if a.Leaving {
 			n.table.SetLeaving(in.Name, true)
 			continue
@@ -84,6 +86,11 @@
 	if hop != "" {
 		n.ledger.Return(hop, lease-spent)
 	}
+	if mayHaveRun && a.Status == call.NotRun {
+		// A later try was refused, but an earlier one was sent and its
+		// answer lost: it may have run, so "not run" would be a lie.
+		a = call.Answer{Status: call.Unknown, Reason: "an earlier try may have run; the last was refused: " + a.Reason}
+	}
 	a.ID = r.ID
 	a.RetriesUsed = spent
 	n.stats.answered("outbound", op.Class, a.Status)
