Keep net/http from sending a call to the target twice

Cause: http.Transport resends a request by itself when a reused connection breaks before an answer, if the request carries an Idempotency-Key header and its body can be replayed. callTarget sets that header on every keyed call, so a target that ran an approval and lost its connection ran it again, below the dedup window and without a retry of the node's own.

Ruled out: dedup and forward (the second arrival came with one pass of the chain).

Before/after, TestTargetCallIsNotSentAgainByTheTransport: the second call came back ok after two arrivals at the target (three runs in all), now unknown after one.

Conclusion: the body given to the transport cannot be rewound, so it sends a call once; a call never written is still sent on a new connection.

--- a/node/inbound.go
+++ b/node/inbound.go
@@ -49,10 +49,11 @@
 func (n *Node) callTarget(ctx context.Context, c *filter.Call) call.Answer {
 	r := c.Request
 	url := n.cfg.Settings.Target + "/v1/" + r.Operation
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, onceBody{bytes.NewReader(r.Body)})
 	if err != nil {
 		return call.Refuse(*r, err.Error(), 0)
 	}
+	req.ContentLength = int64(len(r.Body))
 	call.WriteHeaders(req.Header, *r)
 	if hop, ok := ctx.Value(hopKey{}).(budget.Hop); ok {
 		req.Header.Set(call.HeaderHop, string(hop))
@@ -84,6 +85,16 @@
 	return a
 }
 
+// onceBody is a request body the HTTP transport cannot rewind. The transport
+// sends a request again by itself when a reused connection breaks before an
+// answer, if the request carries an Idempotency-Key and its body can be
+// replayed; the target may have run the first, so an approval would run
+// twice. A body of a type it does not know stops that.
+type onceBody struct{ io.Reader }
+
+// Close does nothing: the body holds no resource.
+func (onceBody) Close() error { return nil }
+
 // isDialError reports whether err happened before anything was sent.
 func isDialError(err error) bool {
 	var op *net.OpError
--- a/node/lost_answer_test.go
+++ b/node/lost_answer_test.go
@@ -1,6 +1,11 @@
 package node_test
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/oatpin/oatpin/call"
@@ -48,3 +53,50 @@
 		So(st, ShouldEqual, call.Unknown)
 	})
 }
+
+// A target runs an approval and its connection breaks before the answer is
+// out, on a connection that served a call before. net/http sends a request
+// that carries an Idempotency-Key again by itself then, and the approval
+// would run twice without any retry of the node's own.
+func TestTargetCallIsNotSentAgainByTheTransport(t *testing.T) {
+	Convey("A target that breaks off after running a call sees it once", t, func() {
+		var runs atomic.Int32
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer l.Close()
+		go func() {
+			for {
+				nc, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go breakSecond(nc, &runs)
+			}
+		}()
+		g := fakeText(t, "idempotent = false", startFakePeer(t, breaksOff))
+		base := startNode(t, g, "back-1", "http://"+l.Addr().String())
+		st, _, _ := callOp(t, base, "back", "op")
+		So(st, ShouldEqual, call.OK)
+		st, _, _ = callOp(t, base, "back", "op")
+		So(st, ShouldEqual, call.Unknown)
+		So(runs.Load(), ShouldEqual, 2)
+	})
+}
+
+// breakSecond answers the first request on nc and keeps the connection,
+// then reads the second and breaks off.
+func breakSecond(nc net.Conn, runs *atomic.Int32) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for i := range 2 {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		runs.Add(1)
+		if i == 0 {
+			io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
