Find silent connections in 2.5 s, bound every write, share flushes

Cause: three ways a silent or stalled connection held calls up. A connection was pinged only after 5 s without a frame, so a call on one waited out its deadline. Pings ran one after the other, each up to 1 s, so 27 silent peers (a data centre cut) took 27 s more. Writes had no deadline: once the socket buffer of a stalled peer was full, the next write blocked for good with the connection's lock held, and every call and the ping waited behind it.

Ruled out: TCP resets (they end the calls at once already).

Change: Conn.Check, run every 500 ms for every connection, pings one that delivers nothing (after 1 s with calls waiting, 5 s without) and closes it when no frame follows within 1 s; silence is counted in checks, so a paused process does not take its own pause for its peers' silence. Every write has 1 s. Writers that meet share one flush.

Check replaces Ping and Quiet, so their two tests are replaced by stricter ones on the bubble's clock: silence with a call closed within 2.5 s (before: no bound shown for calls, 11 s for the ping), idle within 6.5 s, slow targets and idle peers never closed and pinged at most 6 times in 30 s, own pause, stalled peer.

--- a/node/peers.go
+++ b/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -10,17 +11,8 @@
 	"github.com/oatpin/oatpin/wire"
 )
 
-const (
-	// pingEvery and pingTimeout bound how long a silent connection (open,
-	// but forgotten by a box in between) goes unnoticed: a connection that
-	// read nothing for pingEvery is pinged at the next tick, so at most
-	// twice pingEvery plus pingTimeout. Connections that deliver frames are
-	// not pinged: at the planned size that keeps pings within the 3 KB/s
-	// control budget (docs/CAPACITY.md).
-	pingEvery   = 5 * time.Second
-	pingTimeout = time.Second
-	dialTimeout = time.Second
-)
+// dialTimeout bounds one dial of a peer.
+const dialTimeout = time.Second
 
 // peers holds one multiplexed connection per peer node address.
 type peers struct {
@@ -63,10 +55,10 @@
 	return c, nil
 }
 
-// keepAlive pings every connection until stop closes; one that does not
-// answer is closed, so the next call dials a fresh one.
+// keepAlive checks every connection for silence until stop closes; the next
+// call to a peer whose connection was closed dials a fresh one.
 func (p *peers) keepAlive(stop <-chan struct{}) {
-	t := time.NewTicker(pingEvery)
+	t := time.NewTicker(wire.CheckEvery)
 	defer t.Stop()
 	for {
 		select {
@@ -74,23 +66,28 @@
 			return
 		case <-t.C:
 		}
-		p.mu.Lock()
-		conns := make(map[string]*wire.Conn, len(p.conns))
-		for a, c := range p.conns {
-			conns[a] = c
-		}
-		p.mu.Unlock()
-		for addr, c := range conns {
-			if c.Err() != nil || c.Quiet() < pingEvery {
-				continue
-			}
-			if err := c.Ping(pingTimeout); err != nil {
-				p.log.WithField("peer", addr).WithError(err).Warn("peer_connection_silent")
+		for addr, c := range p.open() {
+			c.Check()
+			if errors.Is(c.Err(), wire.ErrSilent) {
+				p.log.WithField("peer", addr).Warn("peer_connection_silent")
 			}
 		}
 	}
 }
 
+// open returns the open connections by peer address.
+func (p *peers) open() map[string]*wire.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := make(map[string]*wire.Conn, len(p.conns))
+	for addr, c := range p.conns {
+		if c.Err() == nil {
+			conns[addr] = c
+		}
+	}
+	return conns
+}
+
 func (p *peers) closeAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/wire/server.go
+++ b/wire/server.go
@@ -74,15 +74,11 @@
 	defer nc.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var mu sync.Mutex // guards w and enc
-	w := bufio.NewWriter(nc)
-	enc := msgpack.NewEncoder(w)
+	out := newFrameWriter(nc)
 	send := func(f Frame) {
-		mu.Lock()
-		defer mu.Unlock()
 		f.Config = s.version()
-		if enc.Encode(&f) == nil {
-			w.Flush()
+		if out.write(f) != nil {
+			nc.Close()
 		}
 	}
 	dec := msgpack.NewDecoder(bufio.NewReader(nc))
