Run a key at one instance only: dated keys, ranked owners, vouched hand-over

Cause: at most once rested on rendezvous routing to one dedup window, and anything that moved the key or emptied the window broke it. A restarted node ran a key again; a text that adds or removes an instance, a leaving one or one that could not be dialled moved the key to an empty window; entry calls for the entry's own service were not routed by key at all; a call that waited in a paused process's socket ran however late; and keyed calls were spread over all data centres, so a cut stopped most of them.

Change: a key is HOME.UUIDv7, so it says where it belongs and when it was made, before any try of it. Instances are ranked per key, home data centre first. An instance runs a key only if its process and its place in the rank under every text that routers may hold are older than the key (owner.Book); otherwise it declines for good, and the router passes the key on with the names of those that declined. An owner that cannot be reached is not passed over. The dedup window answers before the drain does. Other malformed or undated keys are a 400. Calls carry when they were sent, so lateness counts. Because keyed calls now stay within a data centre, calls no longer carry texts across: nodes compare texts with a random other one every 5 s (0.5 s while the platform is away), four at once after a new text, and settings may name seeds.

Tests changed: keys in path_test and leaving_test are dated now, the new contract; their assertions are the same.

Conclusion: holds under the model's failures; not covered: a router and an instance that both miss texts or the VM list for longer than 10 s, while a client crosses over to nodes that have them (docs to say so).

--- a/call/call.go
+++ b/call/call.go
@@ -13,9 +13,6 @@
 // RequestID names one caller's request across all the hops it crosses.
 type RequestID string
 
-// Key is an idempotency key: two calls with the same key are one action.
-type Key string
-
 const (
 	// Critical calls (approvals, publications, find logs, trackable awards,
 	// badge transfers) are refused only after every sheddable call is.
@@ -43,8 +40,10 @@
 	Service   string        `msgpack:"service"`
 	Operation string        `msgpack:"operation"`
 	Key       Key           `msgpack:"key,omitempty"`
-	Remaining time.Duration `msgpack:"remaining"` // time left to the deadline when sent
-	Budget    int           `msgpack:"budget"`    // retries the whole request may still spend
+	Remaining time.Duration `msgpack:"remaining"`        // time left to the deadline when sent
+	Sent      time.Time     `msgpack:"sent"`             // when it was sent, by the sender's clock
+	Budget    int           `msgpack:"budget"`           // retries the whole request may still spend
+	Passed    []string      `msgpack:"passed,omitempty"` // instances that declined this key
 	Body      []byte        `msgpack:"body,omitempty"`
 }
 
@@ -56,6 +55,7 @@
 	RetryAfter  time.Duration `msgpack:"retry_after,omitempty"`
 	RetriesUsed int           `msgpack:"retries_used"` // retries spent below this hop
 	Leaving     bool          `msgpack:"leaving,omitempty"`
+	Declined    bool          `msgpack:"declined,omitempty"` // this instance has not run the key and never will
 	Body        []byte        `msgpack:"body,omitempty"`
 }
 
@@ -63,16 +63,3 @@
 func Refuse(r Request, reason string, after time.Duration) Answer {
 	return Answer{ID: r.ID, Status: NotRun, Reason: reason, RetryAfter: after}
 }
-
-// Retryable reports whether a caller may send the same call again: only when
-// nothing of it ran, or when the operation is idempotent and it did not
-// finish.
-func (a Answer) Retryable(idempotent bool) bool {
-	switch a.Status {
-	case NotRun:
-		return true
-	case Unknown:
-		return idempotent
-	}
-	return false
-}
--- a/callgraph/graph.go
+++ b/callgraph/graph.go
@@ -19,7 +19,8 @@
 		Version  Version
 		Retries  int // retries one whole request may cause over all hops
 		Services map[string]*Service
-		Text     []byte // the text as submitted
+		Text     []byte    // the text as submitted
+		Accepted time.Time // when the platform accepted it; zero if that is not known
 	}
 
 	// Service is one service of the call graph.
--- a/cmd/oatpin/roles.go
+++ b/cmd/oatpin/roles.go
@@ -29,7 +29,7 @@
 	Usage: "run the node beside one target VM",
 	Flags: []cli.Flag{settingsFlag},
 	Action: func(c *cli.Context) error {
-		var s settings.Node
+		s := settings.Node{ClockSkew: time.Second}
 		if err := settings.Load(c.String("settings"), "node", &s); err != nil {
 			return err
 		}
@@ -38,7 +38,7 @@
 			return err
 		}
 		defer closer.Close()
-		n := node.New(node.Config{Settings: s, Log: lg})
+		n := node.New(node.Config{Settings: s, Log: lg, Skew: s.ClockSkew})
 		go stopOnSignal(func(ctx context.Context) { n.Shutdown(ctx) })
 		return n.Serve()
 	},
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -15,6 +15,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// startTimeout bounds the wait for all nodes of a mesh to be ready.
+const startTimeout = 10 * time.Second
+
 type (
 	// Config is what a Mesh is built from.
 	Config struct {
@@ -25,6 +28,9 @@
 		// collide.
 		AnyPort bool
 		VMPoll  time.Duration // how often nodes read the VM list; 0 for their default
+		// Dial opens connections from one instance's node to others; nil for
+		// TCP. Failure tests cut instances off with it.
+		Dial func(ctx context.Context, from callgraph.Instance, addr string) (net.Conn, error)
 		// Baseline runs every node as the naive baseline (node.Config.Baseline).
 		Baseline bool
 		Log      log.Interface
@@ -79,9 +85,27 @@
 			}
 		}
 	}
+	if err := m.waitReady(); err != nil {
+		m.Stop(context.Background())
+		return nil, err
+	}
 	return m, nil
 }
 
+// waitReady waits until every node can serve every call.
+func (m *Mesh) waitReady() error {
+	deadline := time.Now().Add(startTimeout)
+	for name, n := range m.Nodes {
+		for !n.Ready() {
+			if time.Now().After(deadline) {
+				return eris.Errorf("node %s not ready after %s", name, startTimeout)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return nil
+}
+
 // bind opens every node's listeners before any target takes a port of its
 // own: a target on port 0 could otherwise be handed a port the text names
 // for a node that has not started yet.
@@ -125,7 +149,12 @@
 		m.targetURLs = map[string]string{}
 	}
 	m.targetURLs[in.Name] = "http://" + taddr
+	var dial func(context.Context, string) (net.Conn, error)
+	if cfg.Dial != nil {
+		dial = func(ctx context.Context, addr string) (net.Conn, error) { return cfg.Dial(ctx, in, addr) }
+	}
 	n := node.New(node.Config{
+		Dial: dial,
 		Settings: settings.Node{Instance: in.Name, DC: in.DC, HTTP: in.HTTP, Peer: in.Peer,
 			Target: "http://" + taddr, Platform: m.PlatformURL},
 		Graph:    m.Graph,
--- a/filter/chain_bench_test.go
+++ b/filter/chain_bench_test.go
@@ -19,7 +19,7 @@
 	var leaving atomic.Bool
 	dedup := NewDedup(time.Minute)
 	h := Chain(HandlerFunc(func(context.Context, *Call) call.Answer { return call.Answer{Status: call.OK} }),
-		Deadline(), Drain(&leaving), dedup.Filter(), NewAdmission(1<<20).Filter())
+		Deadline(time.Second), Drain(&leaving), dedup.Filter(), NewAdmission(1<<20).Filter())
 	for _, idem := range []bool{true, false} {
 		op := &callgraph.Operation{Class: call.Critical, Idempotent: idem}
 		b.Run(fmt.Sprintf("idempotent=%v", idem), func(b *testing.B) {
--- a/filter/dedup.go
+++ b/filter/dedup.go
@@ -11,7 +11,8 @@
 // its window. A second call with a key that is running waits for the first
 // and gets the same whole answer; one with a key that finished gets the
 // stored answer. A first run that was refused (NotRun) is forgotten, so the
-// key may be sent again.
+// key may be sent again, unless the refusal declined the key for good: then
+// another instance may run it, and this one must not.
 type Dedup struct {
 	window *Window[call.Key, *run]
 }
@@ -43,7 +44,7 @@
 				return wait(ctx, c, r)
 			}
 			r.answer = next.Serve(ctx, c)
-			if r.answer.Status == call.NotRun {
+			if r.answer.Status == call.NotRun && !r.answer.Declined {
 				d.window.Delete(c.Request.Key)
 			}
 			close(r.done)
--- a/filter/drain.go
+++ b/filter/drain.go
@@ -13,13 +13,15 @@
 const drainRetryAfter = time.Second
 
 // Drain refuses new calls once leaving is set, marking the answer Leaving so
-// that the caller's router stops picking this instance.
+// that the caller's router stops picking this instance. A key refused so is
+// declined: leaving is for good, so another instance may run it.
 func Drain(leaving *atomic.Bool) Filter {
 	return func(next Handler) Handler {
 		return HandlerFunc(func(ctx context.Context, c *Call) call.Answer {
 			if leaving.Load() {
 				a := call.Refuse(*c.Request, "instance leaving", drainRetryAfter)
 				a.Leaving = true
+				a.Declined = !c.Op.Idempotent
 				return a
 			}
 			return next.Serve(ctx, c)
--- a/load/load.go
+++ b/load/load.go
@@ -111,13 +111,17 @@
 }
 
 // send makes one request, retrying at once on anything but a whole answer,
-// as the users' hard-retrying clients do. Every try carries the same
-// request id and idempotency key.
+// as the users' hard-retrying clients do. Every try goes to another random
+// instance and carries the same request id and idempotency key.
 func send(ctx context.Context, client *http.Client, cfg Config, ref callgraph.Ref, id string, cr *ClassReport) call.Status {
 	var st call.Status
+	ins := cfg.Graph.Services[ref.Service].Instances
+	in := ins[rand.IntN(len(ins))]
+	key := call.NewKey(string(in.DC))
 	for try := 0; try <= cfg.Retries; try++ {
 		atomic.AddInt64(&cr.Attempts, 1)
-		st = attempt(ctx, client, cfg.Graph, ref, id)
+		st = attempt(ctx, client, in, ref, id, key)
+		in = ins[rand.IntN(len(ins))]
 		if st == call.OK || st == call.Failed {
 			return st
 		}
@@ -125,16 +129,14 @@
 	return st
 }
 
-func attempt(ctx context.Context, client *http.Client, g *callgraph.Graph, ref callgraph.Ref, id string) call.Status {
-	ins := g.Services[ref.Service].Instances
-	in := ins[rand.IntN(len(ins))]
+func attempt(ctx context.Context, client *http.Client, in callgraph.Instance, ref callgraph.Ref, id string, key call.Key) call.Status {
 	url := "http://" + in.HTTP + "/v1/call/" + ref.Service + "/" + ref.Operation
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
 	if err != nil {
 		return call.NotRun
 	}
 	req.Header.Set(call.HeaderRequestID, id)
-	req.Header.Set(call.HeaderKey, id)
+	req.Header.Set(call.HeaderKey, string(key))
 	resp, err := client.Do(req)
 	if err != nil {
 		return call.Unknown
--- a/node/config.go
+++ b/node/config.go
@@ -40,9 +40,14 @@
 		}
 	}
 	n.table.SetGraph(g)
+	n.book.SetGraph(g)
 	if s, _, ok := g.Instance(n.cfg.Settings.Instance); ok {
 		n.admission.SetSlots(s.Slots)
 	}
+	select {
+	case n.applied <- struct{}{}:
+	default:
+	}
 	n.stats.configApplied()
 	n.log.WithField("version", g.Version).Info("config_applied")
 	return true
@@ -52,7 +57,6 @@
 // long-polls the platform, and goes on serving with the text it has while
 // the platform is down.
 func (n *Node) watchConfig() {
-	down := false
 	for {
 		select {
 		case <-n.stop:
@@ -61,10 +65,9 @@
 		}
 		changed, err := n.pollPlatform()
 		if err != nil {
-			if !down {
+			if !n.alone.Swap(true) {
 				n.log.WithError(err).Warn("platform_unreachable")
 			}
-			down = true
 			select {
 			case <-n.stop:
 				return
@@ -72,10 +75,9 @@
 			}
 			continue
 		}
-		if down {
+		if n.alone.Swap(false) {
 			n.log.Info("platform_reachable")
 		}
-		down = false
 		if changed {
 			select {
 			case <-n.stop:
@@ -133,10 +135,21 @@
 	if err != nil {
 		return eris.Wrapf(err, "config from %s", url)
 	}
+	g.Accepted = acceptedAt(resp.Header)
 	n.Apply(g)
 	return nil
 }
 
+// acceptedAt reads when a text was accepted. The header has whole seconds
+// cut off, so the second's end is taken; without one it may be brand new.
+func acceptedAt(h http.Header) time.Time {
+	t, err := http.ParseTime(h.Get("Last-Modified"))
+	if err != nil {
+		return time.Now()
+	}
+	return t.Add(time.Second)
+}
+
 // onPeerVersion learns from a frame that the peer instance holds a newer
 // text and fetches it from that peer's node: this spreads a text while the
 // platform is down or stale for late joiners.
--- a/node/fake_test.go
+++ b/node/fake_test.go
@@ -5,15 +5,18 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/node"
+	"github.com/oatpin/oatpin/platform"
 	"github.com/oatpin/oatpin/settings"
 	"github.com/oatpin/oatpin/wire"
 	"github.com/vmihailenco/msgpack/v5"
@@ -105,7 +108,7 @@
 }
 
 // startNode runs the node of one instance of g alone, before the target at
-// base URL target and with no platform, and returns its own base URL.
+// base URL target, with a platform stand-in, and returns its own base URL.
 func startNode(t testing.TB, g *callgraph.Graph, instance, target string) string {
 	t.Helper()
 	_, in, ok := g.Instance(instance)
@@ -119,13 +122,24 @@
 			t.Fatal(err)
 		}
 	}
+	p, err := platform.New(platform.Config{Text: g.Text})
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(srv.CloseClientConnections)
 	n := node.New(node.Config{
-		Settings: settings.Node{Instance: instance, DC: in.DC, Target: target, Platform: "http://127.0.0.1:1"},
+		Settings: settings.Node{Instance: instance, DC: in.DC, Target: target, Platform: srv.URL},
 		Graph:    g,
 		Log:      &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
 	})
 	go n.ServeOn(ls[0], ls[1])
 	t.Cleanup(func() { ls[0].Close(); ls[1].Close() })
+	for end := time.Now().Add(5 * time.Second); !n.Ready(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s is not ready", instance)
+		}
+	}
 	return "http://" + ls[0].Addr().String()
 }
 
@@ -133,7 +147,20 @@
 // status, the retries the answer admits to and the reason.
 func callOp(t testing.TB, base, service, op string) (call.Status, string, string) {
 	t.Helper()
-	resp, err := http.Post(base+"/v1/call/"+service+"/"+op, "", nil)
+	return callKeyed(t, base, service, op, "")
+}
+
+// callKeyed does the same with an idempotency key, if it is not empty.
+func callKeyed(t testing.TB, base, service, op string, key call.Key) (call.Status, string, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, base+"/v1/call/"+service+"/"+op, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set(call.HeaderKey, string(key))
+	}
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/http.go
+++ b/node/http.go
@@ -25,6 +25,11 @@
 	mux.HandleFunc("POST /v1/call/{service}/{operation}", n.handleCall)
 	mux.HandleFunc("GET /v1/config", n.handleConfig)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.stats.set.WritePrometheus(w) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		if n.leaving.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -56,10 +61,15 @@
 	}
 	hop := budget.Hop(req.Header.Get(call.HeaderHop))
 	if hop == "" {
-		fillEntry(&r, g, op)
+		n.fillEntry(&r, g, op)
 	}
+	if _, err := r.Key.Made(); err != nil && (r.Key != "" || !op.Idempotent) {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(call.HeaderKey, string(r.Key))
 	var a call.Answer
-	if hop == "" && r.Service == n.service() {
+	if hop == "" && op.Idempotent && r.Service == n.service() {
 		a = n.serveLocal(req.Context(), r)
 	} else {
 		a = n.forward(req.Context(), r, op, hop)
@@ -67,9 +77,11 @@
 	writeAnswer(w, a)
 }
 
-// entry fills what a caller left out: a request id, the operation's
-// deadline, and the text's retry budget, which a caller cannot raise.
-func fillEntry(r *call.Request, g *callgraph.Graph, op *callgraph.Operation) {
+// fillEntry fills what a caller left out: a request id, the operation's
+// deadline, the text's retry budget, which a caller cannot raise, and a key.
+// An idempotent operation gets a key too, for the actions it calls: its
+// retry must send them the same ones.
+func (n *Node) fillEntry(r *call.Request, g *callgraph.Graph, op *callgraph.Operation) {
 	if r.ID == "" {
 		r.ID = call.RequestID(uuid.NewString())
 	}
@@ -79,8 +91,8 @@
 	if r.Budget < 0 || r.Budget > g.Retries {
 		r.Budget = g.Retries
 	}
-	if !op.Idempotent && r.Key == "" {
-		r.Key = call.Key(r.ID)
+	if r.Key == "" {
+		r.Key = call.NewKey(string(n.cfg.Settings.DC))
 	}
 }
 
@@ -96,16 +108,6 @@
 	return s.Name
 }
 
-func (n *Node) handleConfig(w http.ResponseWriter, _ *http.Request) {
-	g := n.graph.Load()
-	if g == nil {
-		http.Error(w, "no text in force", http.StatusNotFound)
-		return
-	}
-	w.Header().Set("Oatpin-Config-Version", strconv.FormatUint(uint64(g.Version), 10))
-	w.Write(g.Text)
-}
-
 // writeAnswer gives the caller its answer; a refusal carries Retry-After at
 // once, never held back.
 func writeAnswer(w http.ResponseWriter, a call.Answer) {
--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/demo"
 	"github.com/oatpin/oatpin/examples"
 	. "github.com/smartystreets/goconvey/convey"
@@ -19,13 +19,13 @@
 
 // publish sends n publications spread over the entwurf instances and
 // returns how many came back whole.
-func publish(t *testing.T, m *demo.Mesh, n int, tag string) int {
+func publish(t *testing.T, m *demo.Mesh, n int) int {
 	t.Helper()
 	ok := 0
 	for i := range n {
 		in := m.Graph.Services["entwurf"].Instances[i%3]
 		req, _ := http.NewRequest(http.MethodPost, "http://"+in.HTTP+"/v1/call/entwurf/publish", nil)
-		req.Header.Set("Idempotency-Key", fmt.Sprintf("%s-%d", tag, i))
+		req.Header.Set(call.HeaderKey, string(call.NewKey(string(in.DC))))
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
 			t.Fatal(err)
@@ -45,12 +45,12 @@
 func TestLeavingTargetsGetNoNewWork(t *testing.T) {
 	m := startMeshWith(t, demo.Config{Text: examples.KesslerRaab, VMPoll: 500 * time.Millisecond})
 	Convey("Leaving targets get no new calls after a few seconds", t, func() {
-		So(publish(t, m, 60, "before"), ShouldEqual, 60)
+		So(publish(t, m, 60), ShouldEqual, 60)
 		m.Platform.SetLeaving("archiv-2")
 		go m.Nodes["archiv-3"].Shutdown(context.Background())
 		time.Sleep(leavingBound)
 		before2, before3 := m.Targets["archiv-2"].Arrivals(), m.Targets["archiv-3"].Arrivals()
-		So(publish(t, m, 120, "after"), ShouldEqual, 120)
+		So(publish(t, m, 120), ShouldEqual, 120)
 		So(m.Targets["archiv-2"].Arrivals(), ShouldEqual, before2)
 		So(m.Targets["archiv-3"].Arrivals(), ShouldEqual, before3)
 	})
--- a/node/lost_answer_test.go
+++ b/node/lost_answer_test.go
@@ -39,10 +39,9 @@
 // not be told "not run" on the word of the second alone.
 func TestRefusalAfterALostTryIsNotCalledNotRun(t *testing.T) {
 	Convey("A try that may have run makes the answer unknown, not not_run", t, func() {
-		first := true
+		var lost atomic.Bool
 		script := func(call.Request) *call.Answer {
-			if first {
-				first = false
+			if lost.CompareAndSwap(false, true) {
 				return nil
 			}
 			return &call.Answer{Status: call.NotRun, Reason: "busy"}
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/oatpin/oatpin/budget"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/filter"
+	"github.com/oatpin/oatpin/owner"
 	"github.com/oatpin/oatpin/route"
 	"github.com/oatpin/oatpin/settings"
 	"github.com/oatpin/oatpin/wire"
@@ -45,6 +46,11 @@
 		Log      log.Interface
 		Client   *http.Client  // for the local target and the platform; nil for a default
 		VMPoll   time.Duration // how often to read the VM list; 0 for 5 s
+		// Skew is how far the clocks of callers and nodes may differ; 0
+		// when all run on one machine.
+		Skew time.Duration
+		// Dial opens a connection to a peer; nil for TCP.
+		Dial func(ctx context.Context, addr string) (net.Conn, error)
 		// Baseline makes the node the naive one it is measured against:
 		// no admission by class and a retry of any failure at every hop,
 		// with no budget. Only for experiments.
@@ -59,6 +65,7 @@
 		table     *route.Table
 		admission *filter.Admission
 		dedup     *filter.Dedup
+		book      *owner.Book
 		ledger    *budget.Ledger
 		leaving   atomic.Bool
 		local     filter.Handler
@@ -66,7 +73,9 @@
 		client    *http.Client
 		retry     retryPolicy
 		hops      atomic.Uint64
-		fetching  atomic.Bool // a text is being fetched from a peer
+		fetching  atomic.Bool   // a text is being fetched from a peer
+		alone     atomic.Bool   // the platform could not be reached last time
+		applied   chan struct{} // of one token: a text was put in force
 		stats     *stats
 
 		wire     wire.Server
@@ -86,6 +95,7 @@
 		dedup:     filter.NewDedup(dedupWindow),
 		ledger:    budget.NewLedger(),
 		client:    cfg.Client,
+		applied:   make(chan struct{}, 1),
 		stop:      make(chan struct{}),
 	}
 	if n.log == nil {
@@ -95,16 +105,18 @@
 		n.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
 	}
 	n.stats = newStats(cfg.Settings.Instance)
-	n.peers = newPeers(n.log, cfg.Settings.Instance, n.onPeerVersion)
+	n.peers = newPeers(n.log, cfg, n.onPeerVersion)
+	n.book = owner.NewBook(owner.Config{Instance: cfg.Settings.Instance, Window: dedupWindow, Skew: cfg.Skew, Gone: n.gone})
 	n.local = filter.Chain(filter.HandlerFunc(n.callTarget),
-		filter.Deadline(),
-		filter.Drain(&n.leaving),
+		filter.Deadline(cfg.Skew),
 		n.dedup.Filter(),
+		filter.Owner(n.book),
+		filter.Drain(&n.leaving),
 		n.admission.Filter(),
 	)
 	n.retry = budgeted{}
 	if cfg.Baseline {
-		n.local = filter.Chain(filter.HandlerFunc(n.callTarget), filter.Deadline(), filter.Drain(&n.leaving), n.dedup.Filter())
+		n.local = filter.Chain(filter.HandlerFunc(n.callTarget), filter.Deadline(cfg.Skew), filter.Drain(&n.leaving), n.dedup.Filter())
 		n.retry = baseline{}
 	}
 	n.wire = wire.Server{Handler: n.servePeer, Version: n.version, OnVersion: n.onPeerVersion}
@@ -115,8 +127,11 @@
 	return n
 }
 
-// Serve listens on the settings' addresses and runs until Shutdown.
+// Serve listens on the settings' addresses and runs until Shutdown. It waits
+// out the clock skew first: a key that a caller makes from then on cannot
+// look older than this process.
 func (n *Node) Serve() error {
+	time.Sleep(time.Until(n.book.Started()))
 	hl, err := net.Listen("tcp", n.cfg.Settings.HTTP)
 	if err != nil {
 		return eris.Wrapf(err, "listen http %s", n.cfg.Settings.HTTP)
@@ -133,6 +148,7 @@
 func (n *Node) ServeOn(hl, pl net.Listener) error {
 	go n.watchConfig()
 	go n.watchVMs()
+	go n.exchangeTexts()
 	go n.peers.keepAlive(n.stop)
 	go n.wire.Serve(pl)
 	n.log.WithFields(log.Fields{"http": hl.Addr().String(), "peer": pl.Addr().String()}).Info("node_started")
@@ -168,6 +184,12 @@
 	return err
 }
 
+// Ready reports whether the node can serve every call: it holds a text, has
+// read the VM list, which keyed calls wait for, and is not leaving.
+func (n *Node) Ready() bool {
+	return n.graph.Load() != nil && n.book.Confirmed() && !n.leaving.Load()
+}
+
 // Graph returns the text in force, or nil.
 func (n *Node) Graph() *callgraph.Graph { return n.graph.Load() }
 
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -67,10 +67,11 @@
 func TestPublicationCrossesTheWholeChain(t *testing.T) {
 	m := startMesh(t, examples.KesslerRaab)
 	Convey("A publication passes entwurf, freigabe, archiv and versand", t, func() {
-		st, body := send(t, m, "entwurf", "publish", "release-4711")
+		key := string(call.NewKey("halle-nord"))
+		st, body := send(t, m, "entwurf", "publish", key)
 		So(st, ShouldEqual, call.OK)
 		for _, hop := range []string{"entwurf.publish", "freigabe.approve", "archiv.store", "versand.dispatch"} {
-			So(body, ShouldContainSubstring, hop+"(release-4711)")
+			So(body, ShouldContainSubstring, hop+"("+key+")")
 		}
 	})
 }
@@ -81,20 +82,21 @@
 func TestPublicationRunsAtMostOnceUnderClientRetries(t *testing.T) {
 	m := startMesh(t, examples.KesslerRaab)
 	Convey("Five tries of one key commit versand.dispatch once", t, func() {
+		key := string(call.NewKey("halle-nord"))
 		var wg sync.WaitGroup
 		bodies := make([]string, 5)
 		for i := range bodies {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				_, bodies[i] = send(t, m, "entwurf", "publish", "release-0815")
+				_, bodies[i] = send(t, m, "entwurf", "publish", key)
 			}()
 		}
 		wg.Wait()
 		commits := 0
 		for name, tg := range m.Targets {
 			if strings.HasPrefix(name, "versand") {
-				commits += tg.Effects()["release-0815/freigabe.approve/archiv.store/versand.dispatch"]
+				commits += tg.Effects()[call.Key(key)+"/freigabe.approve/archiv.store/versand.dispatch"]
 			}
 		}
 		So(commits, ShouldEqual, 1)
@@ -115,7 +117,7 @@
 		}
 	}
 	Convey("A refused publication committed nothing anywhere", t, func() {
-		st, _ := send(t, m, "entwurf", "publish", "release-9")
+		st, _ := send(t, m, "entwurf", "publish", "")
 		So(st, ShouldEqual, call.NotRun)
 		for _, tg := range m.Targets {
 			So(tg.Effects(), ShouldBeEmpty)
--- a/node/peers.go
+++ b/node/peers.go
@@ -17,15 +17,15 @@
 // peers holds one multiplexed connection per peer node address.
 type peers struct {
 	log      log.Interface
-	from     string // this node's instance name
+	cfg      Config
 	onConfig func(instance string, version uint64)
 
 	mu    sync.Mutex
 	conns map[string]*wire.Conn
 }
 
-func newPeers(l log.Interface, from string, onConfig func(string, uint64)) *peers {
-	return &peers{log: l, from: from, onConfig: onConfig, conns: map[string]*wire.Conn{}}
+func newPeers(l log.Interface, cfg Config, onConfig func(string, uint64)) *peers {
+	return &peers{log: l, cfg: cfg, onConfig: onConfig, conns: map[string]*wire.Conn{}}
 }
 
 // get returns the open connection to an instance's node, dialling one if
@@ -40,7 +40,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := wire.Dial(ctx, addr, wire.DialConfig{From: p.from, OnVersion: func(v uint64) { p.onConfig(in.Name, v) }})
+	c, err := wire.Dial(ctx, addr, wire.DialConfig{From: p.cfg.Settings.Instance, Dial: p.cfg.Dial, OnVersion: func(v uint64) { p.onConfig(in.Name, v) }})
 	if err != nil {
 		return nil, err
 	}
--- a/node/policy.go
+++ b/node/policy.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/oatpin/oatpin/call"
-	"github.com/oatpin/oatpin/callgraph"
 )
 
 // baselineRetries is how often the baseline retries at every hop, as common
@@ -12,11 +11,10 @@
 type (
 	// retryPolicy decides whether forward sends one more try.
 	retryPolicy interface {
-		again(a call.Answer, op *callgraph.Operation, retries, spent, lease int) bool
+		again(a call.Answer, s *sending) bool
 	}
 
-	// budgeted retries only what did not run (or, for an idempotent
-	// operation, whose outcome is unknown), within the operation's limit
+	// budgeted retries only what is safe to send again, within the operation's limit
 	// at this hop and the request's budget over all hops.
 	budgeted struct{}
 
@@ -25,10 +23,10 @@
 	baseline struct{}
 )
 
-func (budgeted) again(a call.Answer, op *callgraph.Operation, retries, spent, lease int) bool {
-	return a.Retryable(op.Idempotent) && retries < op.Retries && spent < lease
+func (budgeted) again(a call.Answer, s *sending) bool {
+	return s.repeatable(a) && s.retries < s.op.Retries && s.spent < s.lease
 }
 
-func (baseline) again(a call.Answer, _ *callgraph.Operation, retries, _, _ int) bool {
-	return a.Status != call.OK && retries < baselineRetries
+func (baseline) again(a call.Answer, s *sending) bool {
+	return a.Status != call.OK && s.retries < baselineRetries
 }
--- a/node/vms.go
+++ b/node/vms.go
@@ -26,22 +26,29 @@
 	t := time.NewTicker(every)
 	defer t.Stop()
 	for {
+		n.followVMs()
 		select {
 		case <-n.stop:
 			return
 		case <-t.C:
 		}
-		vms, err := n.readVMs()
-		if err != nil {
-			continue // the list is a hint; the last one read stays in force
-		}
-		for _, vm := range vms {
-			n.table.SetLeaving(vm.Instance, vm.Leaving)
-			if vm.Instance == n.cfg.Settings.Instance && vm.Leaving && !n.leaving.Swap(true) {
-				n.log.Info("node_leaving_by_vm_list")
-			}
+	}
+}
+
+// followVMs reads the VM list once. If that fails the last one read stays in
+// force: the list is a hint.
+func (n *Node) followVMs() {
+	vms, err := n.readVMs()
+	if err != nil {
+		return
+	}
+	for _, vm := range vms {
+		n.table.SetListed(vm.Instance, vm.Leaving)
+		if vm.Instance == n.cfg.Settings.Instance && vm.Leaving && !n.leaving.Swap(true) {
+			n.log.Info("node_leaving_by_vm_list")
 		}
 	}
+	n.book.Confirm()
 }
 
 func (n *Node) readVMs() ([]platform.VM, error) {
--- /dev/null
+++ b/owner/bench_test.go
@@ -0,0 +1,28 @@
+package owner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/owner"
+)
+
+// BenchmarkClaim measures what judging one key costs an instance of a
+// service of nine, the size planned for.
+func BenchmarkClaim(b *testing.B) {
+	instances := make([]callgraph.Instance, 9)
+	for i := range instances {
+		instances[i] = callgraph.Instance{Name: fmt.Sprintf("versand-%d", i+1), DC: callgraph.DC(fmt.Sprint(i % 6))}
+	}
+	bk := owner.NewBook(owner.Config{Instance: "versand-1", Window: time.Hour})
+	bk.SetGraph(&callgraph.Graph{Version: 1, Services: map[string]*callgraph.Service{"versand": {Instances: instances}}})
+	bk.Confirm()
+	key := call.NewKey("0")
+	b.ReportAllocs()
+	for b.Loop() {
+		bk.Claim("versand", key, nil)
+	}
+}
--- /dev/null
+++ b/owner/rank.go
@@ -0,0 +1,49 @@
+package owner
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
+)
+
+// Next returns the instance that a router asks next for key: the first in
+// the rank that has not declined it and was not gone when it was made.
+func Next(instances []callgraph.Instance, key call.Key, passed []string, gone func(instance string) bool) (callgraph.Instance, bool) {
+	for _, in := range Rank(instances, key) {
+		if !slices.Contains(passed, in.Name) && !gone(in.Name) {
+			return in, true
+		}
+	}
+	return callgraph.Instance{}, false
+}
+
+// Rank returns the instances in the order in which they may run key: those
+// of the key's home data centre first, so that a data centre cut off from
+// the others goes on with its own actions, each part by rendezvous hash, so
+// that adding or removing an instance moves only that instance's keys.
+func Rank(instances []callgraph.Instance, key call.Key) []callgraph.Instance {
+	home := callgraph.DC(key.Home())
+	type scored struct {
+		in    callgraph.Instance
+		home  bool
+		score uint64
+	}
+	all := make([]scored, len(instances))
+	for i, in := range instances {
+		all[i] = scored{in: in, home: in.DC == home, score: xxhash.Sum64String(string(key) + "\x00" + in.Name)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		switch {
+		case a.home != b.home && a.home, a.home == b.home && a.score > b.score:
+			return -1
+		}
+		return 1
+	})
+	ranked := make([]callgraph.Instance, len(all))
+	for i, s := range all {
+		ranked[i] = s.in
+	}
+	return ranked
+}
--- a/route/doc.go
+++ b/route/doc.go
@@ -1,4 +1,5 @@
 // Package route picks the instance of a service that a node sends a call to:
 // the local data centre first, instances that are leaving or backing off
-// never, and the same instance for the same idempotency key.
+// never. Which instance may run an action that must not repeat is package
+// owner's to say.
 package route
--- a/route/table.go
+++ b/route/table.go
@@ -1,12 +1,10 @@
 package route
 
 import (
-	"hash/fnv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
 )
 
@@ -18,12 +16,13 @@
 	mu      sync.Mutex
 	graph   *callgraph.Graph
 	leaving map[string]bool      // instance names
+	listed  map[string]time.Time // instance name -> when the VM list first showed it leaving
 	avoid   map[string]time.Time // instance name -> until
 }
 
 // NewTable returns a Table for a node in data centre local.
 func NewTable(local callgraph.DC) *Table {
-	return &Table{local: local, leaving: map[string]bool{}, avoid: map[string]time.Time{}}
+	return &Table{local: local, leaving: map[string]bool{}, listed: map[string]time.Time{}, avoid: map[string]time.Time{}}
 }
 
 // SetGraph puts a new text's instances in force.
@@ -40,6 +39,37 @@
 	t.mu.Unlock()
 }
 
+// SetListed notes whether the VM list shows an instance as leaving; one that
+// is gets no new calls.
+func (t *Table) SetListed(name string, leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving[name] = leaving
+	_, known := t.listed[name]
+	switch {
+	case !leaving:
+		delete(t.listed, name)
+	case !known:
+		t.listed[name] = time.Now()
+	}
+}
+
+// ListedBefore reports whether the VM list showed an instance as leaving
+// before at.
+func (t *Table) ListedBefore(name string, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since, ok := t.listed[name]
+	return ok && since.Before(at)
+}
+
+// Avoided reports whether calls are kept away from an instance now.
+func (t *Table) Avoided(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Now().Before(t.avoid[name])
+}
+
 // Avoid keeps calls away from an instance until the given time, as when its
 // node could not be dialled. A capacity refusal is no reason: its come-back
 // time is for the caller of that one call.
@@ -49,12 +79,10 @@
 	t.mu.Unlock()
 }
 
-// Pick returns an instance of service for a call with key, skipping those
-// in tried. Instances of the local data centre come first, so that a data
-// centre cut off from the others goes on serving; within the chosen set a
-// key always maps to the same instance (rendezvous hashing), so that a
-// dedup window at that instance sees every try of one action.
-func (t *Table) Pick(service string, key call.Key, tried map[string]bool) (callgraph.Instance, bool) {
+// Pick returns an instance of service, skipping those in tried. Instances of
+// the local data centre come first, so that a data centre cut off from the
+// others goes on serving; within the chosen set they take turns.
+func (t *Table) Pick(service string, tried map[string]bool) (callgraph.Instance, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.graph == nil || t.graph.Services[service] == nil {
@@ -73,28 +101,11 @@
 		}
 	}
 	set := local
-	if len(set) == 0 || key != "" {
-		set = append(local, remote...)
+	if len(set) == 0 {
+		set = remote
 	}
 	if len(set) == 0 {
 		return callgraph.Instance{}, false
 	}
-	if key != "" {
-		return rendezvous(set, key), true
-	}
 	return set[t.rr.Add(1)%uint64(len(set))], true
 }
-
-func rendezvous(set []callgraph.Instance, key call.Key) callgraph.Instance {
-	var best callgraph.Instance
-	var top uint64
-	for _, in := range set {
-		h := fnv.New64a()
-		h.Write([]byte(key))
-		h.Write([]byte(in.Name))
-		if s := h.Sum64(); s >= top {
-			best, top = in, s
-		}
-	}
-	return best
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"reflect"
 	"strings"
+	"time"
 
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/rotisserie/eris"
@@ -23,7 +24,11 @@
 		Peer     string       `ini:"peer"`     // host:port for other nodes (msgpack over TCP)
 		Target   string       `ini:"target"`   // base URL of the local target
 		Platform string       `ini:"platform"` // base URL of the configuration service
-		Timeline string       `ini:"timeline"` // file for the time line; empty for standard error
+		// Seeds are HTTP addresses of other nodes, asked for the text while
+		// this node holds none and the platform does not answer.
+		Seeds     []string      `ini:"seeds"`
+		ClockSkew time.Duration `ini:"clock_skew"` // how far clocks of callers and nodes may differ; default 1s
+		Timeline  string        `ini:"timeline"`   // file for the time line; empty for standard error
 	}
 
 	// Target is the [target] section: the stand-in back end.
@@ -103,6 +108,9 @@
 		need("peer", s.Peer, hostPort)
 		need("target", s.Target, baseURL)
 		need("platform", s.Platform, baseURL)
+		for _, seed := range s.Seeds {
+			need("seed", seed, hostPort)
+		}
 	case *Target:
 		need("service", s.Service, nonEmpty)
 		need("http", s.HTTP, hostPort)
--- a/target/target.go
+++ b/target/target.go
@@ -168,7 +168,7 @@
 	var out bytes.Buffer
 	out.WriteString(t.cfg.Service + "." + op.Name + "(" + string(r.ID) + ")")
 	for i, ref := range op.Calls {
-		body, st, after := t.callDependency(ctx, h, ref, r)
+		body, st, after := t.callDependency(ctx, h, ref, r, callNumber(op.Calls, i))
 		if st != call.OK {
 			if i == 0 && st == call.NotRun {
 				return body, call.NotRun, after
@@ -195,9 +195,21 @@
 	return out.Bytes(), call.OK, ""
 }
 
+// callNumber returns how many of calls before i name the same operation.
+func callNumber(calls []callgraph.Ref, i int) int {
+	n := 0
+	for _, c := range calls[:i] {
+		if c == calls[i] {
+			n++
+		}
+	}
+	return n
+}
+
 // callDependency calls ref through the local node, passing on the request's
-// metadata; each sub-action gets its own key derived from the caller's.
-func (t *Target) callDependency(ctx context.Context, h http.Header, ref callgraph.Ref, r call.Request) ([]byte, call.Status, string) {
+// metadata; each sub-action gets its own key derived from the caller's, with
+// its number when the same operation is called again.
+func (t *Target) callDependency(ctx context.Context, h http.Header, ref callgraph.Ref, r call.Request, number int) ([]byte, call.Status, string) {
 	url := t.cfg.Node + "/v1/call/" + ref.Service + "/" + ref.Operation
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
 	if err != nil {
@@ -206,6 +218,9 @@
 	sub := r
 	if r.Key != "" {
 		sub.Key = r.Key + "/" + call.Key(ref.String())
+		if number > 0 {
+			sub.Key += call.Key("." + strconv.Itoa(number))
+		}
 	}
 	if dl, ok := ctx.Deadline(); ok {
 		sub.Remaining = time.Until(dl)
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -16,6 +16,8 @@
 type DialConfig struct {
 	From      string         // this node's instance name, sent with each request
 	OnVersion func(v uint64) // told the text version each answer carries; may be nil
+	// Dial opens the network connection; nil for TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
 
 // Conn is the calling side of one connection to a peer node. It is safe for
@@ -37,14 +39,22 @@
 
 // Dial opens a connection to a peer's msgpack listener at addr.
 func Dial(ctx context.Context, addr string, cfg DialConfig) (*Conn, error) {
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	dial := cfg.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	nc, err := dial(ctx, addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial peer %s", addr)
 	}
 	return NewConn(nc, cfg), nil
 }
 
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // NewConn returns a Conn over an open network connection.
 func NewConn(nc net.Conn, cfg DialConfig) *Conn {
 	c := &Conn{
