Let reads into a one-slot target, and hold shedding order over time

Cause: the sheddable share of one slot rounded down to none, so a target with a single slot refused every read. The order test looked at single moments only: with one cap for both classes it passed.

Before/after: TestAdmissionLetsReadsIntoOneSlot failed, now passes.

--- a/filter/admission.go
+++ b/filter/admission.go
@@ -63,7 +63,7 @@
 	defer a.mu.Unlock()
 	limit := a.slots
 	if class == call.Sheddable {
-		limit = int(float64(a.slots) * sheddableShare)
+		limit = max(1, int(float64(a.slots)*sheddableShare))
 	}
 	if a.inflight >= limit {
 		return max(MinRetryAfter, 2*a.service), false
--- a/filter/admission_test.go
+++ b/filter/admission_test.go
@@ -13,6 +13,7 @@
 	a        *Admission
 	slots    int
 	inflight int
+	shedding bool // a critical call was refused, and most slots have been busy since
 }
 
 func (m *admissionModel) Arrive(t *rapid.T) {
@@ -22,6 +23,12 @@
 	if !ok && class == call.Critical && shedWouldPass {
 		t.Fatalf("critical call refused at %d of %d slots while a sheddable one would pass", m.inflight, m.slots)
 	}
+	if ok && class == call.Sheddable && m.shedding {
+		t.Fatalf("sheddable call let in at %d of %d slots while critical ones are being refused", m.inflight, m.slots)
+	}
+	if !ok && class == call.Critical {
+		m.shedding = true
+	}
 	if ok {
 		m.inflight++
 	}
@@ -36,6 +43,9 @@
 	}
 	m.a.release(0)
 	m.inflight--
+	if 10*m.inflight < 8*m.slots {
+		m.shedding = false
+	}
 }
 
 func (m *admissionModel) Check(t *rapid.T) {
@@ -58,7 +68,8 @@
 // every browsing and ranking read is: a member's find log refused while a
 // ranking read still passes would lose the find for a read nobody needs.
 // Random arrivals and departures of both classes never show a critical
-// call refused while a sheddable one would still pass.
+// call refused while a sheddable one would still pass, nor a sheddable one
+// let in after a critical one was refused until a fifth of the slots is free.
 func TestAdmissionRefusesSheddableFirst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 200).Draw(t, "slots")
@@ -66,3 +77,12 @@
 		t.Repeat(rapid.StateMachineActions(m))
 	})
 }
+
+// A target with a single slot serves reads too: a share of one slot that is
+// rounded down to none would refuse every browsing read for good.
+func TestAdmissionLetsReadsIntoOneSlot(t *testing.T) {
+	a := NewAdmission(1)
+	if _, ok := a.admit(call.Sheddable); !ok {
+		t.Fatal("a read was refused by an idle target")
+	}
+}
