Watch the VM list for changes, and let a restarted instance have calls again

Cause: every node read the whole list every 5 s, about 10 KB/s a node at 1,100 instances against a budget of 3 KB/s, and a leaving VM got calls for up to 5 s more. The list read was also the only thing that ended the avoidance of an instance that had answered as leaving.

Ruled out: a shorter poll (more bytes), pushing from the platform (it is only read and watched).

An instance that answers as leaving is avoided for 5 s, one that is listed until the list says otherwise, one that could not be dialled for 1 s.

TestLeavingTargetsGetNoNewWork holds its 2 s bound with the default settings (it needed a 0.5 s poll).

--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -27,7 +27,6 @@
 		// the text, so that meshes started side by side (tests) never
 		// collide.
 		AnyPort bool
-		VMPoll  time.Duration // how often nodes read the VM list; 0 for their default
 		// Dial opens connections from one instance's node to others; nil for
 		// TCP. Failure tests cut instances off with it.
 		Dial func(ctx context.Context, from callgraph.Instance, addr string) (net.Conn, error)
@@ -159,7 +158,6 @@
 			Target: "http://" + taddr, Platform: m.PlatformURL},
 		Graph:    m.Graph,
 		Log:      cfg.Log.WithField("process", in.Name),
-		VMPoll:   cfg.VMPoll,
 		Baseline: cfg.Baseline,
 	})
 	go n.ServeOn(ls[0], ls[1])
--- a/node/config.go
+++ b/node/config.go
@@ -91,10 +91,19 @@
 // pollPlatform waits once at the platform for a text newer than the one in
 // force and reports whether one came.
 func (n *Node) pollPlatform() (bool, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), watchWait+5*time.Second)
+	ctx, cancel := n.watchContext()
 	defer cancel()
-	// A watch waits at the platform for up to watchWait; a stopping node
-	// must not keep it open, or the platform's own stop waits on it.
+	before := n.version()
+	url := n.cfg.Settings.Platform + "/v1/config?after=" + strconv.FormatUint(before, 10) + "&wait=" + watchWait.String()
+	err := n.fetchConfig(ctx, url)
+	return n.version() != before, err
+}
+
+// watchContext bounds one watch call at the platform. It ends when the node
+// stops: a watch waits for up to watchWait, and the platform's own stop would
+// wait on it.
+func (n *Node) watchContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), watchWait+5*time.Second)
 	go func() {
 		select {
 		case <-n.stop:
@@ -102,10 +111,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	before := n.version()
-	url := n.cfg.Settings.Platform + "/v1/config?after=" + strconv.FormatUint(before, 10) + "&wait=" + watchWait.String()
-	err := n.fetchConfig(ctx, url)
-	return n.version() != before, err
+	return ctx, cancel
 }
 
 // fetchConfig reads a text from url (the platform or a peer's node) and
--- a/node/keyed.go
+++ b/node/keyed.go
@@ -13,7 +13,11 @@
 // before it passes over an instance the VM list shows as leaving: they read
 // the list at other moments, and one that has not seen it yet would decline
 // the key for good.
-const listLag = defaultVMPoll + time.Second
+const listLag = vmListLag + time.Second
+
+// unreachableRetryAfter is when a caller may come back whose key's owner
+// could not be reached.
+const unreachableRetryAfter = time.Second
 
 // sendToOwner sends a non-idempotent call to the first instance in its
 // key's rank that does not decline it. An owner that cannot be reached is
@@ -26,18 +30,18 @@
 		if !ok {
 			return unowned(s, onlyLeaving)
 		}
-		if n.table.Avoided(in.Name) {
-			return call.Refuse(s.r, "the instance that has this key is unreachable", avoidAfterDial)
+		if n.table.Unreachable(in.Name) {
+			return call.Refuse(s.r, "the instance that has this key is unreachable", unreachableRetryAfter)
 		}
 		a, sent := n.send(ctx, s, in)
 		switch {
 		case !sent:
-			return call.Refuse(s.r, "the instance that has this key is unreachable", avoidAfterDial)
+			return call.Refuse(s.r, "the instance that has this key is unreachable", unreachableRetryAfter)
 		case a.Declined:
 			s.passed = append(s.passed, in.Name)
 			onlyLeaving = onlyLeaving && a.Leaving
 			if a.Leaving {
-				n.table.SetLeaving(in.Name, true)
+				n.table.SetDraining(in.Name)
 			}
 		case !n.retry.again(a, s):
 			return a
--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -13,8 +13,8 @@
 )
 
 // leavingBound is the "few seconds" after which a leaving target gets no
-// new work: the VM list poll of this test (500 ms) plus the calls in
-// flight at that moment, with room to spare.
+// new work: the watch of the VM list answers at once, so it holds the calls
+// in flight at that moment, with room to spare.
 const leavingBound = 2 * time.Second
 
 // publish sends n publications spread over the entwurf instances and
@@ -43,7 +43,7 @@
 // work, or a replacement VM would lose calls when the old one goes; the
 // rest of the mesh must go on publishing whole.
 func TestLeavingTargetsGetNoNewWork(t *testing.T) {
-	m := startMeshWith(t, demo.Config{Text: examples.KesslerRaab, VMPoll: 500 * time.Millisecond})
+	m := startMesh(t, examples.KesslerRaab)
 	Convey("Leaving targets get no new calls after a few seconds", t, func() {
 		So(publish(t, m, 60), ShouldEqual, 60)
 		m.Platform.SetLeaving("archiv-2")
--- a/node/node.go
+++ b/node/node.go
@@ -44,8 +44,7 @@
 		Settings settings.Node
 		Graph    *callgraph.Graph // text to start with; nil to wait for the platform
 		Log      log.Interface
-		Client   *http.Client  // for the local target and the platform; nil for a default
-		VMPoll   time.Duration // how often to read the VM list; 0 for 5 s
+		Client   *http.Client // for the local target and the platform; nil for a default
 		// Skew is how far the clocks of callers and nodes may differ; 0
 		// when all run on one machine.
 		Skew time.Duration
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -9,10 +9,6 @@
 	"github.com/oatpin/oatpin/callgraph"
 )
 
-// avoidAfterDial keeps calls away from an instance whose node could not be
-// dialled.
-const avoidAfterDial = time.Second
-
 // forward routes a call to a node of its service and retries within the
 // budget, which comes from the ledger when the call is the local target's
 // (hop set) and from the request at entry.
@@ -41,9 +37,7 @@
 // sendToAny sends an idempotent call to instances of its service in turn. A
 // re-pick after a refusal that ran nothing because the instance was leaving
 // or unreachable spends no budget, and is bounded by the number of
-// instances. A capacity refusal does not make the node avoid the instance:
-// its come-back time is for the caller, and avoiding every instance that
-// refused once left none to call while slots were free again.
+// instances.
 func (n *Node) sendToAny(ctx context.Context, s *sending) call.Answer {
 	tried := map[string]bool{}
 	a := call.Refuse(s.r, ErrNoInstance.Error(), time.Second)
@@ -59,7 +53,7 @@
 		}
 		a = got
 		if a.Leaving {
-			n.table.SetLeaving(in.Name, true)
+			n.table.SetDraining(in.Name)
 			continue
 		}
 		if !n.retry.again(a, s) {
@@ -83,7 +77,7 @@
 	for range 2 {
 		conn, err := n.peers.get(ctx, in)
 		if err != nil {
-			n.table.Avoid(in.Name, time.Now().Add(avoidAfterDial))
+			n.table.SetUnreachable(in.Name)
 			return call.Answer{}, false
 		}
 		a, err := conn.Call(ctx, s.next(), n.version())
--- a/node/vms.go
+++ b/node/vms.go
@@ -1,72 +1,87 @@
 package node
 
 import (
-	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/oatpin/oatpin/platform"
 	"github.com/rotisserie/eris"
 )
 
-// defaultVMPoll is how often a node reads the VM list. At 1,100 nodes that
-// is 220 reads a second at the platform, a ninth of its 2,000.
-const defaultVMPoll = 5 * time.Second
+// vmListLag is within which every node that reaches the platform has read a
+// change of the VM list: its watch answers at once, or it backs off and asks
+// again.
+const vmListLag = rewatchSpread + 2*watchBackoff
 
 // watchVMs is the controller that follows the platform's VM list: peers
 // listed as leaving get no new calls, and when this node's own instance is
 // listed it starts to drain. The list lags, so a node's own Shutdown (which
 // marks its answers at once) is the fast path and the list the slow one.
+// While it cannot be read the last one stays in force: it is a hint.
 func (n *Node) watchVMs() {
-	every := n.cfg.VMPoll
-	if every <= 0 {
-		every = defaultVMPoll
-	}
-	t := time.NewTicker(every)
-	defer t.Stop()
+	var revision uint64
 	for {
-		n.followVMs()
+		next, err := n.pollVMs(revision)
+		pause := time.Duration(0)
+		switch {
+		case err != nil:
+			pause = watchBackoff
+		case next != revision && revision != 0:
+			pause = rand.N(rewatchSpread)
+		}
+		if err == nil {
+			revision = next
+		}
 		select {
 		case <-n.stop:
 			return
-		case <-t.C:
+		case <-time.After(pause):
 		}
 	}
 }
 
-// followVMs reads the VM list once. If that fails the last one read stays in
-// force: the list is a hint.
-func (n *Node) followVMs() {
-	vms, err := n.readVMs()
-	if err != nil {
-		return
-	}
-	for _, vm := range vms {
-		n.table.SetListed(vm.Instance, vm.Leaving)
-		if vm.Instance == n.cfg.Settings.Instance && vm.Leaving && !n.leaving.Swap(true) {
-			n.log.Info("node_leaving_by_vm_list")
-		}
-	}
-	n.book.Confirm()
-}
-
-func (n *Node) readVMs() ([]platform.VM, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+// pollVMs waits once at the platform for a change of the VM list after
+// revision, puts it in force and returns the revision then held.
+func (n *Node) pollVMs(revision uint64) (uint64, error) {
+	ctx, cancel := n.watchContext()
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, n.cfg.Settings.Platform+"/v1/vms", nil)
+	url := n.cfg.Settings.Platform + "/v1/vms?after=" + strconv.FormatUint(revision, 10) + "&wait=" + watchWait.String()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
 	resp, err := n.client.Do(req)
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("vm list: %s", resp.Status)
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return revision, nil
+	default:
+		return 0, eris.Errorf("vm list: %s", resp.Status)
+	}
+	var list platform.VMList
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return 0, eris.Wrap(err, "vm list")
+	}
+	n.applyVMs(list)
+	return list.Revision, nil
+}
+
+func (n *Node) applyVMs(list platform.VMList) {
+	if list.Full {
+		n.table.ClearListed()
 	}
-	var vms []platform.VM
-	err = json.NewDecoder(resp.Body).Decode(&vms)
-	return vms, err
+	for _, vm := range list.VMs {
+		n.table.SetListed(vm.Instance, vm.Leaving)
+		if vm.Instance == n.cfg.Settings.Instance && vm.Leaving && !n.leaving.Swap(true) {
+			n.log.Info("node_leaving_by_vm_list")
+		}
+	}
+	n.book.Confirm()
 }
--- a/route/table.go
+++ b/route/table.go
@@ -8,21 +8,32 @@
 	"github.com/oatpin/oatpin/callgraph"
 )
 
+const (
+	// avoidUnreachable keeps calls away from an instance whose node could
+	// not be dialled.
+	avoidUnreachable = time.Second
+	// avoidDraining keeps calls away from an instance that answered as
+	// leaving. It ends, because the VM may stay and only its process be
+	// restarted; while it drains, asking again costs one re-pick.
+	avoidDraining = 5 * time.Second
+)
+
 // Table knows the instances of every service and which to avoid now.
 type Table struct {
 	local callgraph.DC
 	rr    atomic.Uint64
 
-	mu      sync.Mutex
-	graph   *callgraph.Graph
-	leaving map[string]bool      // instance names
-	listed  map[string]time.Time // instance name -> when the VM list first showed it leaving
-	avoid   map[string]time.Time // instance name -> until
+	mu          sync.Mutex
+	graph       *callgraph.Graph
+	listed      map[string]time.Time // instance -> when the VM list first showed it leaving
+	unreachable map[string]time.Time // instance -> until
+	draining    map[string]time.Time // instance -> until
 }
 
 // NewTable returns a Table for a node in data centre local.
 func NewTable(local callgraph.DC) *Table {
-	return &Table{local: local, leaving: map[string]bool{}, listed: map[string]time.Time{}, avoid: map[string]time.Time{}}
+	return &Table{local: local, listed: map[string]time.Time{},
+		unreachable: map[string]time.Time{}, draining: map[string]time.Time{}}
 }
 
 // SetGraph puts a new text's instances in force.
@@ -32,19 +43,11 @@
 	t.mu.Unlock()
 }
 
-// SetLeaving marks an instance as leaving, or not; it gets no new calls.
-func (t *Table) SetLeaving(name string, leaving bool) {
-	t.mu.Lock()
-	t.leaving[name] = leaving
-	t.mu.Unlock()
-}
-
 // SetListed notes whether the VM list shows an instance as leaving; one that
 // is gets no new calls.
 func (t *Table) SetListed(name string, leaving bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.leaving[name] = leaving
 	_, known := t.listed[name]
 	switch {
 	case !leaving:
@@ -54,6 +57,13 @@
 	}
 }
 
+// ClearListed forgets the VM list, before a full one is noted.
+func (t *Table) ClearListed() {
+	t.mu.Lock()
+	clear(t.listed)
+	t.mu.Unlock()
+}
+
 // ListedBefore reports whether the VM list showed an instance as leaving
 // before at.
 func (t *Table) ListedBefore(name string, at time.Time) bool {
@@ -63,22 +73,31 @@
 	return ok && since.Before(at)
 }
 
-// Avoided reports whether calls are kept away from an instance now.
-func (t *Table) Avoided(name string) bool {
+// SetDraining keeps calls away from an instance that answered as leaving.
+func (t *Table) SetDraining(name string) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	return time.Now().Before(t.avoid[name])
+	t.draining[name] = time.Now().Add(avoidDraining)
+	t.mu.Unlock()
 }
 
-// Avoid keeps calls away from an instance until the given time, as when its
-// node could not be dialled. A capacity refusal is no reason: its come-back
-// time is for the caller of that one call.
-func (t *Table) Avoid(name string, until time.Time) {
+// SetUnreachable keeps calls away from an instance whose node could not be
+// dialled. A capacity refusal is no reason: its come-back time is for the
+// caller of that one call, and avoiding every instance that refused once
+// left none to call while slots were free again.
+func (t *Table) SetUnreachable(name string) {
 	t.mu.Lock()
-	t.avoid[name] = until
+	t.unreachable[name] = time.Now().Add(avoidUnreachable)
 	t.mu.Unlock()
 }
 
+// Unreachable reports whether an instance's node could not be dialled just
+// now.
+func (t *Table) Unreachable(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Now().Before(t.unreachable[name])
+}
+
 // Pick returns an instance of service, skipping those in tried. Instances of
 // the local data centre come first, so that a data centre cut off from the
 // others goes on serving; within the chosen set they take turns.
@@ -91,7 +110,7 @@
 	now := time.Now()
 	var local, remote []callgraph.Instance
 	for _, in := range t.graph.Services[service].Instances {
-		if tried[in.Name] || t.leaving[in.Name] || now.Before(t.avoid[in.Name]) {
+		if tried[in.Name] || t.avoided(in.Name, now) {
 			continue
 		}
 		if in.DC == t.local {
@@ -109,3 +128,8 @@
 	}
 	return set[t.rr.Add(1)%uint64(len(set))], true
 }
+
+func (t *Table) avoided(name string, now time.Time) bool {
+	_, listed := t.listed[name]
+	return listed || now.Before(t.unreachable[name]) || now.Before(t.draining[name])
+}
