Let a stop finish its slow requests, and pass over a draining target

Cause, first: the role commands returned when Serve did, and Serve returns as soon as a stop begins; the process ended while Shutdown was still waiting. An approval longer than the 2 s drain was cut at node and target. Cause, second: a target's own drain was an ordinary refusal, so keyed calls of its data centre were refused for as long as it drained.

Ruled out: the drain itself (TestSeparateProcessesServeAndStopGracefully passed, its slow approval took 1.5 s).

Change: runUntilSignal returns when the stop has; a target refuses for 2 s before it closes its listener. A target's refusal may say it is leaving (Oatpin-Leaving); its node passes that on, and routers go on to the next instance.

Before/after: TestStopWaitsForSlowRequests (4 s approval, SIGTERM to the node, then to the target): 502 in both, now 200 in both. TestDrainingTargetIsPassedOver: 40 of 60 publications whole, now 60.

--- a/call/header.go
+++ b/call/header.go
@@ -16,6 +16,9 @@
 	HeaderStatus    = "Oatpin-Status"
 	HeaderRetries   = "Oatpin-Retries-Used"
 	HeaderReason    = "Oatpin-Reason"
+	// HeaderLeaving marks the refusal of a target that takes no new calls
+	// for good.
+	HeaderLeaving = "Oatpin-Leaving"
 	// HeaderHop carries the budget hop of a call from a node to its target
 	// and back on the target's outbound calls.
 	HeaderHop = "Oatpin-Hop"
--- a/cmd/oatpin/process_test.go
+++ b/cmd/oatpin/process_test.go
@@ -107,17 +107,18 @@
 	return resp, string(body), nil
 }
 
-// An operator stops archiv's node with SIGTERM while an approval is being
-// stored slowly behind it. The approval must finish whole; the editor who
-// sends the next approval must be told at once that it did not run and
-// when to come back, and nothing of it may run. Every role runs as its own
-// process here, started from its own settings file.
-func TestSeparateProcessesServeAndStopGracefully(t *testing.T) {
-	f := newFleet(t)
-	p := freePorts(t, 7)
+// pairNode is one node of the pair the tests run, with its target.
+type pairNode struct{ name, service, http, peer, target string }
+
+// startPair runs the platform, and freigabe and archiv with a node and a
+// target each, every role its own process, and waits until an approval
+// crosses them. It returns freigabe's node, archiv's node and the base URL
+// of freigabe's operations.
+func (f *fleet) startPair() (freigabe, archiv pairNode, entry string) {
+	p := freePorts(f.t, 7)
 	text, err := os.ReadFile("testdata/pair.ini")
 	if err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
 	cfg := strings.NewReplacer("PORT_A_HTTP", fmt.Sprint(p[0]), "PORT_A_PEER", fmt.Sprint(p[1]),
 		"PORT_B_HTTP", fmt.Sprint(p[2]), "PORT_B_PEER", fmt.Sprint(p[3])).Replace(string(text))
@@ -125,43 +126,59 @@
 	os.WriteFile(cfgPath, []byte(cfg), 0o644)
 	platform := fmt.Sprintf("127.0.0.1:%d", p[4])
 	f.start("platform", "platform", fmt.Sprintf("[platform]\nhttp = %s\nconfig = %s\ntimeline = %s\n", platform, cfgPath, f.timeline("platform")), platform)
-	nodes := []struct{ name, service, http, peer, target string }{
-		{"freigabe-1", "freigabe", fmt.Sprint(p[0]), fmt.Sprint(p[1]), fmt.Sprint(p[5])},
-		{"archiv-1", "archiv", fmt.Sprint(p[2]), fmt.Sprint(p[3]), fmt.Sprint(p[6])},
-	}
-	for _, n := range nodes {
+	freigabe = pairNode{"freigabe-1", "freigabe", fmt.Sprint(p[0]), fmt.Sprint(p[1]), fmt.Sprint(p[5])}
+	archiv = pairNode{"archiv-1", "archiv", fmt.Sprint(p[2]), fmt.Sprint(p[3]), fmt.Sprint(p[6])}
+	for _, n := range []pairNode{freigabe, archiv} {
 		f.start(n.name, "node", fmt.Sprintf("[node]\ninstance = %s\ndc = halle-nord\nhttp = 127.0.0.1:%s\npeer = 127.0.0.1:%s\ntarget = http://127.0.0.1:%s\nplatform = http://%s\ntimeline = %s\n",
 			n.name, n.http, n.peer, n.target, platform, f.timeline(n.name)), "127.0.0.1:"+n.http)
 		f.start(n.name+"-target", "target", fmt.Sprintf("[target]\nservice = %s\nhttp = 127.0.0.1:%s\nnode = http://127.0.0.1:%s\nplatform = http://%s\n",
 			n.service, n.target, n.http, platform), "127.0.0.1:"+n.target)
 	}
-	entry := "http://127.0.0.1:" + nodes[0].http + "/v1/call/freigabe/"
+	entry = "http://127.0.0.1:" + freigabe.http + "/v1/call/freigabe/"
+	for range 50 { // the nodes fetch the text from the platform first
+		resp, _, err := post(entry + "approve")
+		if err == nil && resp.StatusCode == http.StatusOK {
+			return freigabe, archiv, entry
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.t.Fatal("no approval crossed the pair")
+	return
+}
 
-	Convey("An approval crosses two nodes and two targets, each its own process", t, func() {
-		var resp *http.Response
-		var body string
-		for range 50 { // the nodes fetch the text from the platform first
-			resp, body, err = post(entry + "approve")
-			if err == nil && resp.StatusCode == http.StatusOK {
-				break
-			}
-			time.Sleep(100 * time.Millisecond)
+// postLater posts to url and sends the status code when it is answered, 0
+// for none.
+func postLater(url string) <-chan int {
+	code := make(chan int, 1)
+	go func() {
+		resp, _, err := post(url)
+		if err != nil {
+			code <- 0
+			return
 		}
+		code <- resp.StatusCode
+	}()
+	return code
+}
+
+// An operator stops archiv's node with SIGTERM while an approval is being
+// stored slowly behind it. The approval must finish whole; the editor who
+// sends the next approval must be told at once that it did not run and
+// when to come back, and nothing of it may run. Every role runs as its own
+// process here, started from its own settings file.
+func TestSeparateProcessesServeAndStopGracefully(t *testing.T) {
+	f := newFleet(t)
+	freigabe, _, entry := f.startPair()
+
+	Convey("An approval crosses two nodes and two targets, each its own process", t, func() {
+		resp, body, err := post(entry + "approve")
 		So(err, ShouldBeNil)
 		So(resp.StatusCode, ShouldEqual, http.StatusOK)
 		So(body, ShouldContainSubstring, "archiv.store")
 	})
 
 	Convey("SIGTERM to archiv's node lets the slow approval finish and refuses the next at once", t, func() {
-		slow := make(chan int, 1)
-		go func() {
-			resp, _, err := post(entry + "approve_slowly")
-			if err != nil {
-				slow <- 0
-				return
-			}
-			slow <- resp.StatusCode
-		}()
+		slow := postLater(entry + "approve_slowly")
 		time.Sleep(300 * time.Millisecond)
 		So(f.procs["archiv-1"].Process.Signal(syscall.SIGTERM), ShouldBeNil)
 		time.Sleep(200 * time.Millisecond)
@@ -175,7 +192,7 @@
 		refused := resp.Header.Get(call.HeaderRequestID)
 		So(<-slow, ShouldEqual, http.StatusOK)
 
-		_, effects, err := get("http://127.0.0.1:" + nodes[0].target + "/admin/effects")
+		_, effects, err := get("http://127.0.0.1:" + freigabe.target + "/admin/effects")
 		So(err, ShouldBeNil)
 		So(effects, ShouldNotContainSubstring, refused)
 	})
@@ -190,3 +207,26 @@
 		So(strings.Index(merged, "config_accepted"), ShouldBeLessThan, strings.Index(merged, "node_leaving"))
 	})
 }
+
+// archiv's node, and then its target, are stopped while an approval takes
+// 4 s there, longer than the drain lasts. Both processes must stay until
+// the approval is stored and answered whole; an approval sent meanwhile is
+// refused at once as not run, with when to come back.
+func TestStopWaitsForSlowRequests(t *testing.T) {
+	for _, stopped := range []string{"archiv-1", "archiv-1-target"} {
+		f := newFleet(t)
+		_, _, entry := f.startPair()
+		Convey("SIGTERM to "+stopped+" cuts no request in progress", t, func() {
+			slow := postLater(entry + "approve_very_slowly")
+			time.Sleep(300 * time.Millisecond)
+			So(f.procs[stopped].Process.Signal(syscall.SIGTERM), ShouldBeNil)
+			time.Sleep(200 * time.Millisecond)
+			resp, _, err := post(entry + "approve")
+			So(err, ShouldBeNil)
+			So(resp.Header.Get(call.HeaderStatus), ShouldEqual, string(call.NotRun))
+			So(resp.Header.Get("Retry-After"), ShouldNotBeEmpty)
+			So(<-slow, ShouldEqual, http.StatusOK)
+			So(f.procs[stopped].Wait(), ShouldBeNil)
+		})
+	}
+}
--- a/cmd/oatpin/roles.go
+++ b/cmd/oatpin/roles.go
@@ -39,8 +39,7 @@
 		}
 		defer closer.Close()
 		n := node.New(node.Config{Settings: s, Log: lg, Skew: s.ClockSkew})
-		go stopOnSignal(func(ctx context.Context) { n.Shutdown(ctx) })
-		return n.Serve()
+		return runUntilSignal(n.Serve, func(ctx context.Context) { n.Shutdown(ctx) })
 	},
 }
 
@@ -61,7 +60,7 @@
 			return eris.Errorf("target: service %s is not in the text in force", s.Service)
 		}
 		t := target.New(target.Config{Service: s.Service, Graph: g, Node: s.Node})
-		return serveHTTP(s.HTTP, t.Handler())
+		return serveHTTP(s.HTTP, t.Handler(), t.Leave)
 	},
 }
 
@@ -90,27 +89,37 @@
 		if err != nil {
 			return err
 		}
-		return serveHTTP(s.HTTP, p.Handler())
+		return serveHTTP(s.HTTP, p.Handler(), func() {})
 	},
 }
 
-// serveHTTP serves h on addr until SIGTERM or SIGINT, then stops gracefully.
-func serveHTTP(addr string, h http.Handler) error {
+// serveHTTP serves h on addr until SIGTERM or SIGINT, then calls drain and
+// stops gracefully.
+func serveHTTP(addr string, h http.Handler, drain func()) error {
 	srv := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	go stopOnSignal(func(ctx context.Context) { srv.Shutdown(ctx) })
-	if err := srv.ListenAndServe(); err != nil && err != http.ErrServerClosed {
-		return err
-	}
-	return nil
+	return runUntilSignal(srv.ListenAndServe, func(ctx context.Context) {
+		drain()
+		srv.Shutdown(ctx)
+	})
 }
 
-func stopOnSignal(stop func(context.Context)) {
-	ch := make(chan os.Signal, 1)
-	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT)
-	<-ch
+// runUntilSignal runs serve until it fails, or until SIGTERM or SIGINT and
+// then until stop has returned. serve returns as soon as a stop begins;
+// ending the process then would cut the requests that stop waits for.
+func runUntilSignal(serve func() error, stop func(context.Context)) error {
+	sig := make(chan os.Signal, 1)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
+	failed := make(chan error, 1)
+	go func() { failed <- serve() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-sig:
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	stop(ctx)
+	return nil
 }
 
 // readPlatformText reads the text in force from the platform at base.
--- a/node/inbound.go
+++ b/node/inbound.go
@@ -78,6 +78,8 @@
 		a.Status = call.NotRun
 		a.Reason = resp.Header.Get(call.HeaderReason)
 		a.RetryAfter = retryAfter(resp.Header)
+		a.Leaving = resp.Header.Get(call.HeaderLeaving) == "true"
+		a.Declined = a.Leaving && !c.Op.Idempotent
 	default:
 		a.Status = call.Failed
 		a.Reason = resp.Status
--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -55,3 +55,14 @@
 		So(m.Targets["archiv-3"].Arrivals(), ShouldEqual, before3)
 	})
 }
+
+// versand-1's target drains by itself, as an operator empties it; its node
+// stays. Publications of its data centre must run at other instances rather
+// than be refused until somebody takes the target off the list.
+func TestDrainingTargetIsPassedOver(t *testing.T) {
+	m := startMesh(t, examples.KesslerRaab)
+	Convey("Publications go on while one target drains", t, func() {
+		m.Targets["versand-1"].Drain()
+		So(publish(t, m, 60), ShouldEqual, 60)
+	})
+}
--- a/target/target.go
+++ b/target/target.go
@@ -15,6 +15,9 @@
 	"github.com/oatpin/oatpin/callgraph"
 )
 
+// leaveGrace is how long a leaving target goes on refusing new calls.
+const leaveGrace = 2 * time.Second
+
 type (
 	// Config is what a Target is built from.
 	Config struct {
@@ -86,6 +89,13 @@
 // to come back in a second.
 func (t *Target) Drain() { t.draining.Store(true) }
 
+// Leave drains the target and returns when its node has had time to be told
+// so by a refusal: once the listener is closed it could only fail to dial.
+func (t *Target) Leave() {
+	t.Drain()
+	time.Sleep(leaveGrace)
+}
+
 // Reject makes the target refuse every new call as not run with no
 // come-back time, as a target that sheds without a hint does.
 func (t *Target) Reject() { t.rejecting.Store(true) }
@@ -123,6 +133,7 @@
 		return
 	}
 	if t.draining.Load() {
+		w.Header().Set(call.HeaderLeaving, "true")
 		notRun(w, "target draining", "1")
 		return
 	}
