Cancel given-up reads down the chain; let actions run to their end

Cause: wire had no way to give up one call, so a read whose caller left went on below the first hop until its deadline, holding slots. The reverse fault: an action was broken off when its caller or the connection to it went away, and was then remembered as unknown, so the caller's next try could not be told how it ended. Empty bodies went to targets chunked, since the body type that stops net/http's resend hides its length.

Ruled out: the HTTP legs (they cancel by themselves for idempotent calls).

Change: a cancel frame ends one stream at the peer; it is sent when the caller leaves before its deadline. Non-idempotent calls run detached from their caller and connection, within their deadline. The key's header goes to the target in lower case, which keeps the transport from resending without the special body.

Conclusion: whatever nobody waits for stops, except what must not stop.

--- a/node/inbound.go
+++ b/node/inbound.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/oatpin/oatpin/budget"
 	"github.com/oatpin/oatpin/call"
@@ -36,6 +37,12 @@
 	}
 	hop := budget.Hop(string(r.ID) + "/" + strconv.FormatUint(n.hops.Add(1), 36))
 	n.ledger.Open(hop, r.Budget)
+	if !op.Idempotent {
+		// Once begun, an action runs to its end or its deadline: broken off
+		// because its caller left or a connection closed, nobody could say
+		// whether it ran.
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx = context.WithValue(ctx, hopKey{}, hop)
 	a := n.local.Serve(ctx, &filter.Call{Request: &r, Op: op})
 	a.RetriesUsed = r.Budget - n.ledger.Close(hop)
@@ -49,12 +56,12 @@
 func (n *Node) callTarget(ctx context.Context, c *filter.Call) call.Answer {
 	r := c.Request
 	url := n.cfg.Settings.Target + "/v1/" + r.Operation
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, onceBody{bytes.NewReader(r.Body)})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.Body))
 	if err != nil {
 		return call.Refuse(*r, err.Error(), 0)
 	}
-	req.ContentLength = int64(len(r.Body))
 	call.WriteHeaders(req.Header, *r)
+	hideKey(req.Header)
 	if hop, ok := ctx.Value(hopKey{}).(budget.Hop); ok {
 		req.Header.Set(call.HeaderHop, string(hop))
 	}
@@ -87,15 +94,17 @@
 	return a
 }
 
-// onceBody is a request body the HTTP transport cannot rewind. The transport
-// sends a request again by itself when a reused connection breaks before an
-// answer, if the request carries an Idempotency-Key and its body can be
-// replayed; the target may have run the first, so an approval would run
-// twice. A body of a type it does not know stops that.
-type onceBody struct{ io.Reader }
-
-// Close does nothing: the body holds no resource.
-func (onceBody) Close() error { return nil }
+// hideKey writes the idempotency key's header in lower case, which servers
+// read all the same. The HTTP transport sends a request with an
+// Idempotency-Key again by itself when a reused connection breaks before an
+// answer; the target may have run the first, so an approval would run twice.
+// The transport looks for the canonical name only.
+func hideKey(h http.Header) {
+	if v, ok := h[call.HeaderKey]; ok {
+		delete(h, call.HeaderKey)
+		h[strings.ToLower(call.HeaderKey)] = v
+	}
+}
 
 // isDialError reports whether err happened before anything was sent.
 func isDialError(err error) bool {
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -18,6 +18,9 @@
 		lease = n.ledger.Lease(hop)
 	}
 	s := &sending{r: r, op: op, lease: lease, deadline: time.Now().Add(r.Remaining)}
+	if !op.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
 	var a call.Answer
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -98,6 +99,12 @@
 		return a, nil
 	case <-ctx.Done():
 		c.forget(s)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			// The caller left before its deadline; the peer cannot know. At
+			// the deadline it stops by itself.
+			c.out.write(Frame{Kind: KindCancel, Stream: s})
+			return lost(r, "given up by its caller"), nil
+		}
 		return lost(r, "deadline passed after sending"), nil
 	}
 }
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -33,4 +33,7 @@
 	KindPing
 	// KindPong answers a KindPing with the same stream.
 	KindPong
+	// KindCancel gives up the request with the same stream; no answer is
+	// needed.
+	KindCancel
 )
--- a/wire/server.go
+++ b/wire/server.go
@@ -74,13 +74,7 @@
 	defer nc.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	out := newFrameWriter(nc)
-	send := func(f Frame) {
-		f.Config = s.version()
-		if out.write(f) != nil {
-			nc.Close()
-		}
-	}
+	in := &inbound{server: s, nc: nc, out: newFrameWriter(nc), calls: map[Stream]context.CancelFunc{}}
 	dec := msgpack.NewDecoder(bufio.NewReader(nc))
 	for {
 		var f Frame
@@ -89,24 +83,64 @@
 		}
 		switch f.Kind {
 		case KindPing:
-			send(Frame{Kind: KindPong, Stream: f.Stream})
+			in.send(Frame{Kind: KindPong, Stream: f.Stream})
 		case KindRequest:
-			if f.Request == nil {
-				continue
+			if f.Request != nil {
+				in.begin(ctx, f)
 			}
-			if s.OnVersion != nil && f.From != "" {
-				s.OnVersion(f.From, f.Config)
-			}
-			s.wg.Add(1)
-			go func(f Frame) {
-				defer s.wg.Done()
-				a := s.Handler(ctx, *f.Request)
-				send(Frame{Kind: KindAnswer, Stream: f.Stream, Answer: &a})
-			}(f)
+		case KindCancel:
+			in.end(f.Stream)
 		}
 	}
 }
 
+// inbound is one connection on the answering side.
+type inbound struct {
+	server *Server
+	nc     net.Conn
+	out    *frameWriter
+
+	mu    sync.Mutex
+	calls map[Stream]context.CancelFunc // in flight
+}
+
+// begin serves one request on a goroutine of its own.
+func (in *inbound) begin(ctx context.Context, f Frame) {
+	s := in.server
+	if s.OnVersion != nil && f.From != "" {
+		s.OnVersion(f.From, f.Config)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	in.mu.Lock()
+	in.calls[f.Stream] = cancel
+	in.mu.Unlock()
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		a := s.Handler(ctx, *f.Request)
+		in.end(f.Stream)
+		in.send(Frame{Kind: KindAnswer, Stream: f.Stream, Answer: &a})
+	}()
+}
+
+// end cancels the call with a stream, if it is in flight, and forgets it.
+func (in *inbound) end(s Stream) {
+	in.mu.Lock()
+	cancel, ok := in.calls[s]
+	delete(in.calls, s)
+	in.mu.Unlock()
+	if ok {
+		cancel()
+	}
+}
+
+func (in *inbound) send(f Frame) {
+	f.Config = in.server.version()
+	if in.out.write(f) != nil {
+		in.nc.Close()
+	}
+}
+
 func (s *Server) version() uint64 {
 	if s.Version == nil {
 		return 0
