Put texts in force one at a time: routing could stay on an older one

Cause: Apply swapped the version in one step but handed the text to the routing table afterwards. Two texts applied at once could reach the table in the wrong order, so calls were routed by the older one until the next change, while the node said it held the newer.

Ruled out: the version swap itself (TestApplyNeverGoesBack held for it).

Before/after: TestApplyNeverGoesBack now also reads the table's version.

Conclusion: one lock around the whole of Apply; it runs once per change.

--- a/node/config.go
+++ b/node/config.go
@@ -28,17 +28,16 @@
 
 // Apply puts g in force if it is newer than the text in force and reports
 // whether it did. A node that paused and wakes holding an older text can
-// only move forward: the version is compared and swapped in one step.
+// only move forward. Texts come from the platform and from peers at once,
+// and each is put in force in several places: done one at a time, or an
+// older text that was overtaken would route calls after the newer one came.
 func (n *Node) Apply(g *callgraph.Graph) bool {
-	for {
-		cur := n.graph.Load()
-		if cur != nil && g.Version <= cur.Version {
-			return false
-		}
-		if n.graph.CompareAndSwap(cur, g) {
-			break
-		}
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	if cur := n.graph.Load(); cur != nil && g.Version <= cur.Version {
+		return false
 	}
+	n.graph.Store(g)
 	n.table.SetGraph(g)
 	n.book.SetGraph(g)
 	if s, _, ok := g.Instance(n.cfg.Settings.Instance); ok {
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -44,6 +44,9 @@
 		if got := uint64(n.Graph().Version); got != newest {
 			t.Fatalf("in force %d, newest applied %d", got, newest)
 		}
+		if got := uint64(n.table.Version()); got != newest {
+			t.Fatalf("calls are routed by text %d, newest applied %d", got, newest)
+		}
 		if s, _, _ := n.Graph().Instance("archiv-1"); s == nil || n.admission.InFlight() != 0 {
 			t.Fatalf("graph in force lost its instance")
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	Node struct {
 		cfg       Config
 		log       log.Interface
+		applying  sync.Mutex // held while a text is put in force
 		graph     atomic.Pointer[callgraph.Graph]
 		table     *route.Table
 		admission *filter.Admission
--- a/route/table.go
+++ b/route/table.go
@@ -43,6 +43,16 @@
 	t.mu.Unlock()
 }
 
+// Version returns the version of the text in force, 0 for none.
+func (t *Table) Version() callgraph.Version {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.graph == nil {
+		return 0
+	}
+	return t.graph.Version
+}
+
 // SetListed notes whether the VM list shows an instance as leaving; one that
 // is gets no new calls.
 func (t *Table) SetListed(name string, leaving bool) {
