Find an instance by name at once, and refuse one listed in two services

Cause: every call that enters at a node looked its instance up by going through all services; and nothing kept one name out of two services, which makes that look-up, and the owner of a key, a matter of map order.

TestParseRefusesAnInstanceOfTwoServices: the text was accepted, now line 14 is named.

--- a/callgraph/check.go
+++ b/callgraph/check.go
@@ -5,8 +5,10 @@
 )
 
 // check finds what is wrong across sections: unknown dependencies, calls
-// outside depends_on, cycles, services with no instance or operation.
+// outside depends_on, cycles, services with no instance or operation,
+// instances of two services.
 func (p *parser) check(g *Graph) {
+	listed := map[string]string{} // instance -> service
 	for _, name := range g.Names() {
 		s := g.Services[name]
 		line := p.ix.sections[sectionService+"."+name]
@@ -16,6 +18,13 @@
 		if len(s.Operations) == 0 {
 			p.add(line, "service %s has no operation", name)
 		}
+		for _, in := range s.Instances {
+			if other, ok := listed[in.Name]; ok {
+				line := p.ix.sections[sectionService+"."+name+"."+sectionInstance+"."+in.Name]
+				p.add(line, "instance %s is listed in service %s too", in.Name, other)
+			}
+			listed[in.Name] = name
+		}
 		for _, d := range s.DependsOn {
 			if g.Services[d] == nil {
 				p.add(p.ix.key(sectionService+"."+name, "depends_on"), "service %s depends on %s, which is not listed", name, d)
--- a/callgraph/graph.go
+++ b/callgraph/graph.go
@@ -21,6 +21,14 @@
 		Services map[string]*Service
 		Text     []byte    // the text as submitted
 		Accepted time.Time // when the platform accepted it; zero if that is not known
+
+		byName map[string]place // instances of a parsed text
+	}
+
+	// place says where an instance stands in a Graph.
+	place struct {
+		service *Service
+		index   int
 	}
 
 	// Service is one service of the call graph.
@@ -73,14 +81,21 @@
 
 // Instance finds the instance with the given name and its service.
 func (g *Graph) Instance(name string) (*Service, Instance, bool) {
+	p, ok := g.byName[name]
+	if !ok {
+		return nil, Instance{}, false
+	}
+	return p.service, p.service.Instances[p.index], true
+}
+
+// index notes where each instance stands; every entry call asks for one.
+func (g *Graph) index() {
+	g.byName = map[string]place{}
 	for _, s := range g.Services {
-		for _, in := range s.Instances {
-			if in.Name == name {
-				return s, in, true
-			}
+		for i, in := range s.Instances {
+			g.byName[in.Name] = place{service: s, index: i}
 		}
 	}
-	return nil, Instance{}, false
 }
 
 // Names returns the service names in order.
--- a/callgraph/parse.go
+++ b/callgraph/parse.go
@@ -43,6 +43,7 @@
 		slices.SortStableFunc(p.problems, func(a, b Problem) int { return a.Line - b.Line })
 		return nil, &TextError{Problems: p.problems}
 	}
+	g.index()
 	return g, nil
 }
 
--- a/callgraph/parse_bench_test.go
+++ b/callgraph/parse_bench_test.go
@@ -1,7 +1,9 @@
 package callgraph
 
 import (
+	"bytes"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -44,3 +46,36 @@
 	}
 	b.ReportMetric(float64(len(text)), "B/text")
 }
+
+// BenchmarkGraphMemory reports the heap one parsed text of the planned size
+// holds; a node keeps those in force over its dedup window.
+func BenchmarkGraphMemory(b *testing.B) {
+	const graphs = 20
+	text := sizedText(120, 1100)
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		gs := make([]*Graph, graphs)
+		for i := range gs {
+			gs[i], _ = Parse(bytes.Clone(text))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/graphs, "B/graph")
+		runtime.KeepAlive(gs)
+	}
+}
+
+// BenchmarkInstance looks one instance up in a text of the planned size, as
+// a node does for every call that enters at it.
+func BenchmarkInstance(b *testing.B) {
+	g, err := Parse(sizedText(120, 1100))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		g.Instance("svc-077-4")
+	}
+}
--- a/callgraph/parse_test.go
+++ b/callgraph/parse_test.go
@@ -59,3 +59,18 @@
 		So(err.Error(), ShouldContainSubstring, "version is missing")
 	})
 }
+
+// An operator copies an instance into a second service and forgets to
+// rename it. A node finds its service by its instance's name, so it would
+// serve either, and a key could belong to both: the text must be refused.
+func TestParseRefusesAnInstanceOfTwoServices(t *testing.T) {
+	Convey("One instance name in two services is a problem at its second line", t, func() {
+		service := func(name string) string {
+			return "[service." + name + "]\nslots = 1\n[service." + name + ".operation.read]\nclass = sheddable\n" +
+				"[service." + name + ".instance.archiv-1]\ndc = halle-nord\nhttp = 127.0.0.1:1\npeer = 127.0.0.1:2\n"
+		}
+		_, err := Parse([]byte("version = 1\n" + service("archiv") + service("entwurf")))
+		So(errors.Is(err, ErrInvalid), ShouldBeTrue)
+		So(err.Error(), ShouldContainSubstring, "line 14: instance archiv-1 is listed in service archiv too")
+	})
+}
