Refuse oversized bodies and texts instead of cutting them

Cause: request bodies, submitted texts and fetched texts were read through a limit that ends the stream quietly. A call over 1 MiB ran with its first megabyte; a text over it was accepted as the valid beginning it had.

Conclusion: the limit is an error everywhere it is read.

--- a/node/config.go
+++ b/node/config.go
@@ -132,9 +132,9 @@
 	default:
 		return eris.Errorf("config from %s: %s", url, resp.Status)
 	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	text, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxBody))
 	if err != nil {
-		return err
+		return eris.Wrapf(err, "config from %s", url)
 	}
 	g, err := callgraph.Parse(text)
 	if err != nil {
--- a/node/http.go
+++ b/node/http.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -42,9 +43,9 @@
 // (outbound, with the hop header set). Calls for this node's own service go
 // through the local chain; others are routed to a node of their service.
 func (n *Node) handleCall(w http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(req.Body, maxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxBody))
 	if err != nil {
-		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		http.Error(w, "body: "+err.Error(), bodyErrorCode(err))
 		return
 	}
 	r := call.Request{Service: req.PathValue("service"), Operation: req.PathValue("operation"), Body: body, Budget: -1}
@@ -77,6 +78,16 @@
 	writeAnswer(w, a)
 }
 
+// bodyErrorCode tells a body over the limit, which is never cut to it, from
+// one that could not be read.
+func bodyErrorCode(err error) int {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
 // fillEntry fills what a caller left out: a request id, the operation's
 // deadline, the text's retry budget, which a caller cannot raise, and a key.
 // An idempotent operation gets a key too, for the actions it calls: its
