Keep the listeners open until a stopping node's requests are done

Cause: a stopping node closed its HTTP listener 2 s after SIGTERM. A request it was still serving whose target then called a dependency, on a new connection to the node, could not; the approval failed half way. New callers for other services were not refused at all while it drained.

Ruled out: runUntilSignal (the process stayed) and archiv's side (the same approval passes when archiv stops).

Change: Shutdown waits until no caller's and no peer's call is in flight, then closes; a leaving node refuses callers at entry with when to come back.

Before/after: TestStopWaitsForSlowRequests with the entry node stopped and an approval that calls archiv twice, 4 s apart: 502, now 200; node and target stops as before.

--- a/cmd/oatpin/process_test.go
+++ b/cmd/oatpin/process_test.go
@@ -208,16 +208,21 @@
 	})
 }
 
-// archiv's node, and then its target, are stopped while an approval takes
-// 4 s there, longer than the drain lasts. Both processes must stay until
-// the approval is stored and answered whole; an approval sent meanwhile is
-// refused at once as not run, with when to come back.
+// archiv's node, its target, or the node at which callers enter is stopped
+// while an approval takes 4 s at archiv, longer than the drain lasts, and
+// then calls archiv once more. The process must stay, with all that the
+// approval still needs of it, until the approval is answered whole; one
+// sent meanwhile is refused at once as not run, with when to come back.
 func TestStopWaitsForSlowRequests(t *testing.T) {
-	for _, stopped := range []string{"archiv-1", "archiv-1-target"} {
+	for stopped, op := range map[string]string{
+		"archiv-1":        "approve_very_slowly",
+		"archiv-1-target": "approve_very_slowly",
+		"freigabe-1":      "approve_in_two_steps",
+	} {
 		f := newFleet(t)
 		_, _, entry := f.startPair()
 		Convey("SIGTERM to "+stopped+" cuts no request in progress", t, func() {
-			slow := postLater(entry + "approve_very_slowly")
+			slow := postLater(entry + op)
 			time.Sleep(300 * time.Millisecond)
 			So(f.procs[stopped].Process.Signal(syscall.SIGTERM), ShouldBeNil)
 			time.Sleep(200 * time.Millisecond)
--- a/node/http.go
+++ b/node/http.go
@@ -62,7 +62,13 @@
 	}
 	hop := budget.Hop(req.Header.Get(call.HeaderHop))
 	if hop == "" {
+		n.entered.Add(1)
+		defer n.entered.Add(-1)
 		n.fillEntry(&r, g, op)
+		if n.leaving.Load() {
+			writeAnswer(w, filter.RefuseLeaving(r))
+			return
+		}
 	}
 	if _, err := r.Key.Made(); err != nil && (r.Key != "" || !op.Idempotent) {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,8 @@
 	// drainGrace is how long a stopping node keeps answering "leaving"
 	// before it stops listening, so that peers learn of it first.
 	drainGrace = 2 * time.Second
+	// idlePoll is how often a stopping node looks whether it is done.
+	idlePoll = 10 * time.Millisecond
 )
 
 var (
@@ -73,6 +75,7 @@
 		client    *http.Client
 		retry     retryPolicy
 		hops      atomic.Uint64
+		entered   atomic.Int64  // calls of callers in flight
 		fetching  atomic.Bool   // a text is being fetched from a peer
 		alone     atomic.Bool   // the platform could not be reached last time
 		applied   chan struct{} // of one token: a text was put in force
@@ -162,7 +165,9 @@
 
 // Shutdown stops the node gracefully: new calls are refused with a
 // come-back time and a leaving mark, calls in flight finish, then the
-// listeners close. ctx bounds the wait.
+// listeners close. The listeners stay open until then: the target's calls to
+// its dependencies, for a request it is still serving, come in through them.
+// ctx bounds the wait.
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.leaving.Store(true)
 	n.log.Info("node_leaving")
@@ -170,20 +175,29 @@
 	case <-time.After(drainGrace):
 	case <-ctx.Done():
 	}
+	n.waitIdle(ctx)
 	n.stopOnce.Do(func() { close(n.stop) })
 	err := n.http.Shutdown(ctx)
-	done := make(chan struct{})
-	go func() { n.wire.Wait(); close(done) }()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
 	n.wire.CloseConns()
 	n.peers.closeAll()
 	n.log.Info("node_stopped")
 	return err
 }
 
+// waitIdle waits until no request of a caller or a peer is being served and
+// every answer to a peer is written, or ctx ends.
+func (n *Node) waitIdle(ctx context.Context) {
+	t := time.NewTicker(idlePoll)
+	defer t.Stop()
+	for n.entered.Load() > 0 || n.wire.InFlight() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Ready reports whether the node can serve every call: it holds a text, has
 // read the VM list, which keyed calls wait for, and is not leaving.
 func (n *Node) Ready() bool {
--- a/wire/server.go
+++ b/wire/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/oatpin/oatpin/call"
 	"github.com/vmihailenco/msgpack/v5"
@@ -23,9 +24,10 @@
 		// each request.
 		OnVersion func(from string, v uint64)
 
+		inFlight atomic.Int64
+
 		mu    sync.Mutex
 		conns map[net.Conn]struct{}
-		wg    sync.WaitGroup
 	}
 )
 
@@ -44,8 +46,8 @@
 	}
 }
 
-// Wait blocks until every call in flight has been answered.
-func (s *Server) Wait() { s.wg.Wait() }
+// InFlight returns how many calls have not been answered yet.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 // CloseConns closes every open connection.
 func (s *Server) CloseConns() {
@@ -114,9 +116,9 @@
 	in.mu.Lock()
 	in.calls[f.Stream] = cancel
 	in.mu.Unlock()
-	s.wg.Add(1)
+	s.inFlight.Add(1)
 	go func() {
-		defer s.wg.Done()
+		defer s.inFlight.Add(-1)
 		a := s.Handler(ctx, *f.Request)
 		in.end(f.Stream)
 		in.send(Frame{Kind: KindAnswer, Stream: f.Stream, Answer: &a})
