--- a/cmd/oatpin/process_test.go
+++ b/cmd/oatpin/process_test.go
@@ -26,6 +26,8 @@
 	bin   string
 	dir   string
 	procs map[string]*exec.Cmd
+
+	platform string // host:port of the platform of startPair
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -92,12 +94,16 @@
 
 func post(url string) (*http.Response, string, error) { return do(http.MethodPost, url) }
 
-// do sends one request with no body and reads the whole answer.
-func do(method, url string) (*http.Response, string, error) {
+// do sends one request with no body and headers given as names and values in
+// turn, and reads the whole answer.
+func do(method, url string, headers ...string) (*http.Response, string, error) {
 	req, err := http.NewRequest(method, url, nil)
 	if err != nil {
 		return nil, "", err
 	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return nil, "", err
@@ -125,12 +131,12 @@
 	cfgPath := filepath.Join(f.dir, "text.ini")
 	os.WriteFile(cfgPath, []byte(cfg), 0o644)
 	platform := fmt.Sprintf("127.0.0.1:%d", p[4])
+	f.platform = platform
 	f.start("platform", "platform", fmt.Sprintf("[platform]\nhttp = %s\nconfig = %s\ntimeline = %s\n", platform, cfgPath, f.timeline("platform")), platform)
 	freigabe = pairNode{"freigabe-1", "freigabe", fmt.Sprint(p[0]), fmt.Sprint(p[1]), fmt.Sprint(p[5])}
 	archiv = pairNode{"archiv-1", "archiv", fmt.Sprint(p[2]), fmt.Sprint(p[3]), fmt.Sprint(p[6])}
 	for _, n := range []pairNode{freigabe, archiv} {
-		f.start(n.name, "node", fmt.Sprintf("[node]\ninstance = %s\ndc = halle-nord\nhttp = 127.0.0.1:%s\npeer = 127.0.0.1:%s\ntarget = http://127.0.0.1:%s\nplatform = http://%s\ntimeline = %s\n",
-			n.name, n.http, n.peer, n.target, platform, f.timeline(n.name)), "127.0.0.1:"+n.http)
+		f.startNode(n, platform)
 		f.start(n.name+"-target", "target", fmt.Sprintf("[target]\nservice = %s\nhttp = 127.0.0.1:%s\nnode = http://127.0.0.1:%s\nplatform = http://%s\n",
 			n.service, n.target, n.http, platform), "127.0.0.1:"+n.target)
 	}
@@ -146,6 +152,12 @@
 	return
 }
 
+// startNode runs a node of the pair.
+func (f *fleet) startNode(n pairNode, platform string) {
+	f.start(n.name, "node", fmt.Sprintf("[node]\ninstance = %s\ndc = halle-nord\nhttp = 127.0.0.1:%s\npeer = 127.0.0.1:%s\ntarget = http://127.0.0.1:%s\nplatform = http://%s\ntimeline = %s\n",
+		n.name, n.http, n.peer, n.target, platform, f.timeline(n.name)), "127.0.0.1:"+n.http)
+}
+
 // postLater posts to url and sends the status code when it is answered, 0
 // for none.
 func postLater(url string) <-chan int {
@@ -235,3 +247,59 @@
 		})
 	}
 }
+
+// archiv's node is paused while a note is stored through it, wakes after the
+// caller has given up, and later is killed after its target stored another
+// note. Each time the caller sends the same note again. The late one must
+// not be stored at all, the other not twice, and the caller of that one must
+// not be told that it was not stored.
+func TestPausedAndKilledNodeStoresNothingTwice(t *testing.T) {
+	f := newFleet(t)
+	freigabe, archiv, _ := f.startPair()
+	store := func(key call.Key, timeout string) string {
+		resp, _, err := do(http.MethodPost, "http://127.0.0.1:"+freigabe.http+"/v1/call/archiv/store_once",
+			call.HeaderKey, string(key), call.HeaderTimeout, timeout)
+		So(err, ShouldBeNil)
+		return resp.Header.Get(call.HeaderStatus)
+	}
+	stored := func(key call.Key) int {
+		_, body, err := get("http://127.0.0.1:" + archiv.target + "/admin/effects")
+		So(err, ShouldBeNil)
+		return strings.Count(body, string(key)+`":1`) + 2*strings.Count(body, string(key)+`":2`)
+	}
+	Convey("A call that waited in the paused node's socket stores nothing", t, func() {
+		key := call.NewKey("halle-nord")
+		proc := f.procs["archiv-1"].Process
+		So(proc.Signal(syscall.SIGSTOP), ShouldBeNil)
+		So(store(key, "500"), ShouldEqual, string(call.Unknown))
+		time.Sleep(2 * time.Second) // past the 500 ms and the 1 s of clock skew
+		So(proc.Signal(syscall.SIGCONT), ShouldBeNil)
+		time.Sleep(300 * time.Millisecond)
+		So(stored(key), ShouldEqual, 0)
+	})
+	Convey("A note stored before the node was killed is not stored again", t, func() {
+		key := call.NewKey("halle-nord")
+		So(store(key, "5000"), ShouldEqual, string(call.OK))
+		f.procs["archiv-1"].Process.Kill()
+		f.procs["archiv-1"].Wait()
+		f.startNode(archiv, f.platform)
+		So(f.waitStatus("http://127.0.0.1:"+archiv.http+"/readyz", http.StatusOK), ShouldBeTrue)
+		time.Sleep(time.Second) // archiv-1 is avoided for 1 s after a failed dial
+		So(store(key, "5000"), ShouldEqual, string(call.Unknown))
+		So(stored(key), ShouldEqual, 1)
+		next := call.NewKey("halle-nord")
+		So(store(next, "5000"), ShouldEqual, string(call.OK))
+		So(stored(next), ShouldEqual, 1)
+	})
+}
+
+// waitStatus waits up to 5 s until a GET of url answers with code.
+func (*fleet) waitStatus(url string, code int) bool {
+	for range 100 {
+		if resp, _, err := get(url); err == nil && resp.StatusCode == code {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
