--- a/cmd/oatpin/roles.go
+++ b/cmd/oatpin/roles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -59,8 +60,22 @@
 		if g.Services[s.Service] == nil {
 			return eris.Errorf("target: service %s is not in the text in force", s.Service)
 		}
-		t := target.New(target.Config{Service: s.Service, Graph: g, Node: s.Node})
-		return serveHTTP(s.HTTP, t.Handler(), t.Leave)
+		lg, closer, err := timeline.Open(s.Timeline, s.Service+"-target@"+s.HTTP)
+		if err != nil {
+			return err
+		}
+		defer closer.Close()
+		t := target.New(target.Config{Service: s.Service, Graph: g, Node: s.Node, ColdStart: s.ColdStart, HealthLag: s.HealthLag})
+		l, err := net.Listen("tcp", s.HTTP)
+		if err != nil {
+			return eris.Wrapf(err, "listen http %s", s.HTTP)
+		}
+		lg.WithField("http", s.HTTP).Info("target_started")
+		defer lg.Info("target_stopped")
+		return serveHTTP(t.Limit(l), t.Handler(), func() {
+			lg.Info("target_leaving")
+			t.Leave()
+		})
 	},
 }
 
@@ -89,15 +104,20 @@
 		if err != nil {
 			return err
 		}
-		return serveHTTP(s.HTTP, p.Handler(), func() {})
+		l, err := net.Listen("tcp", s.HTTP)
+		if err != nil {
+			return eris.Wrapf(err, "listen http %s", s.HTTP)
+		}
+		return serveHTTP(l, p.Handler(), func() {})
 	},
 }
 
-// serveHTTP serves h on addr until SIGTERM or SIGINT, then calls drain and
+// serveHTTP serves h on l until SIGTERM or SIGINT, then calls drain and
 // stops gracefully.
-func serveHTTP(addr string, h http.Handler, drain func()) error {
-	srv := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	return runUntilSignal(srv.ListenAndServe, func(ctx context.Context) {
+func serveHTTP(l net.Listener, h http.Handler, drain func()) error {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	serve := func() error { return srv.Serve(l) }
+	return runUntilSignal(serve, func(ctx context.Context) {
 		drain()
 		srv.Shutdown(ctx)
 	})
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -137,12 +137,13 @@
 // loopback port, then its node on the addresses the text gives.
 func (m *Mesh) startInstance(cfg Config, service string, in callgraph.Instance, ls [2]net.Listener) error {
 	t := target.New(target.Config{Service: service, Graph: m.Graph, Node: "http://" + in.HTTP})
-	taddr, err := m.listen("127.0.0.1:0", t.Handler())
+	tl, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		ls[0].Close()
 		ls[1].Close()
-		return err
+		return eris.Wrap(err, "listen for a target")
 	}
+	taddr := m.serve(t.Limit(tl), t.Handler())
 	m.Targets[in.Name] = t
 	if m.targetURLs == nil {
 		m.targetURLs = map[string]string{}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,7 +37,11 @@
 		HTTP     string `ini:"http"`
 		Node     string `ini:"node"` // base URL of the local node, for calls to dependencies
 		Platform string `ini:"platform"`
-		Timeline string `ini:"timeline"`
+		// ColdStart is how long after its start work takes three times as
+		// long; HealthLag how old the health endpoint's answer may be.
+		ColdStart time.Duration `ini:"cold_start"`
+		HealthLag time.Duration `ini:"health_lag"`
+		Timeline  string        `ini:"timeline"`
 	}
 
 	// Platform is the [platform] section: the stand-in configuration service.
--- a/target/target.go
+++ b/target/target.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
+	"golang.org/x/net/netutil"
 )
 
 // leaveGrace is how long a leaving target goes on refusing new calls.
@@ -25,6 +27,7 @@
 		Graph     *callgraph.Graph
 		Node      string        // base URL of the local node
 		ColdStart time.Duration // time after start during which work is three times slower
+		HealthLag time.Duration // how old GET /health's answer may be
 		Client    *http.Client
 	}
 
@@ -33,6 +36,7 @@
 		cfg     Config
 		service *callgraph.Service
 		slots   chan struct{}
+		health  lagging[Health]
 		started time.Time
 		client  *http.Client
 
@@ -56,10 +60,19 @@
 	if t.client == nil {
 		t.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
 	}
+	t.health.lag = cfg.HealthLag
 	t.slow.Store(100)
 	return t
 }
 
+// Limit returns l held to the connections the text gives the service.
+func (t *Target) Limit(l net.Listener) net.Listener {
+	if t.service.Connections <= 0 {
+		return l
+	}
+	return netutil.LimitListener(l, t.service.Connections)
+}
+
 // Handler returns the target's HTTP API.
 func (t *Target) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -121,10 +134,6 @@
 	return t.served
 }
 
-func (t *Target) handleHealth(w http.ResponseWriter, _ *http.Request) {
-	json.NewEncoder(w).Encode(map[string]any{"inflight": t.inflight.Load(), "draining": t.draining.Load()})
-}
-
 func (t *Target) handleOp(w http.ResponseWriter, req *http.Request) {
 	t.arrivals.Add(1)
 	op := t.service.Operations[req.PathValue("operation")]
