--- a/node/node.go
+++ b/node/node.go
@@ -116,7 +116,6 @@
 		filter.Owner(n.book),
 		filter.Drain(&n.leaving),
 		n.admission.Filter(),
-		filter.NewThrottle().Filter(),
 	)
 	n.retry = budgeted{}
 	if cfg.Baseline {
