Refuse a call for another service before the target sees it

Cause: a node served whatever operation a frame named. A router with an old text, after a VM's address went to another service, got that call to the new target, which answered for an operation of the same name.

Before/after: TestCallForAnotherServiceIsNotRun: failed, with one arrival at versand's target for archiv.read; now not_run and none.

--- a/node/inbound.go
+++ b/node/inbound.go
@@ -33,7 +33,13 @@
 		op = g.Operation(callgraph.Ref{Service: r.Service, Operation: r.Operation})
 	}
 	if op == nil {
-		return call.Refuse(r, ErrUnknownOperation.Error(), 0)
+		return call.Refuse(r, ErrUnknownOperation.Error(), filter.MinRetryAfter)
+	}
+	if r.Service != n.service() {
+		// The sender's text is older than the reuse of this address by
+		// another service; an operation of the same name would answer it
+		// wrongly.
+		return call.Refuse(r, ErrOtherService.Error(), filter.MinRetryAfter)
 	}
 	hop := budget.Hop(string(r.ID) + "/" + strconv.FormatUint(n.hops.Add(1), 36))
 	n.ledger.Open(hop, r.Budget)
