Refuse a call meant for another instance

Cause: a frame did not say which instance it was meant for. At a reused address an instance of the same service answered for the one that was there: it ran or declined a key in the other's name, and a decline is what the next in the rank relies on.

Before/after: TestMisroutedCallIsNotRun (replaces TestCallForAnotherServiceIsNotRun, which it contains): ok for a dispatch meant for versand-2, now not_run and not a decline.

--- a/call/call.go
+++ b/call/call.go
@@ -41,6 +41,7 @@
 	Operation string        `msgpack:"operation"`
 	Key       Key           `msgpack:"key,omitempty"`
 	Remaining time.Duration `msgpack:"remaining"`        // time left to the deadline when sent
+	To        string        `msgpack:"to,omitempty"`     // instance it is meant for; empty for any
 	Sent      time.Time     `msgpack:"sent"`             // when it was sent, by the sender's clock
 	Budget    int           `msgpack:"budget"`           // retries the whole request may still spend
 	Passed    []string      `msgpack:"passed,omitempty"` // instances that declined this key
--- a/node/inbound.go
+++ b/node/inbound.go
@@ -35,11 +35,11 @@
 	if op == nil {
 		return call.Refuse(r, ErrUnknownOperation.Error(), filter.MinRetryAfter)
 	}
-	if r.Service != n.service() {
-		// The sender's text is older than the reuse of this address by
-		// another service; an operation of the same name would answer it
-		// wrongly.
-		return call.Refuse(r, ErrOtherService.Error(), filter.MinRetryAfter)
+	if r.Service != n.service() || (r.To != "" && r.To != n.cfg.Settings.Instance) {
+		// The sender's text is older than the reuse of this address. An
+		// operation of the same name would answer for the wrong service, and
+		// declining a key would speak for the instance that was here.
+		return call.Refuse(r, ErrMisrouted.Error(), filter.MinRetryAfter)
 	}
 	hop := budget.Hop(string(r.ID) + "/" + strconv.FormatUint(n.hops.Add(1), 36))
 	n.ledger.Open(hop, r.Budget)
--- a/node/node.go
+++ b/node/node.go
@@ -38,9 +38,9 @@
 	ErrNoInstance = eris.New("no instance available")
 	// ErrUnknownOperation is the reason given for a call the text does not list.
 	ErrUnknownOperation = eris.New("operation not in the configuration text")
-	// ErrOtherService is the reason given for a call that another node sent
-	// here for a service this instance does not belong to.
-	ErrOtherService = eris.New("this instance belongs to another service")
+	// ErrMisrouted is the reason given for a call that another node sent
+	// here but meant for another service or instance.
+	ErrMisrouted = eris.New("meant for another instance")
 )
 
 type (
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -71,7 +71,7 @@
 // that was not ran nowhere. The node's own instance is called in place.
 func (n *Node) send(ctx context.Context, s *sending, in callgraph.Instance) (call.Answer, bool) {
 	if in.Name == n.cfg.Settings.Instance {
-		a := n.serveLocal(ctx, s.next())
+		a := n.serveLocal(ctx, s.next(in.Name))
 		s.note(a)
 		return a, true
 	}
@@ -83,7 +83,7 @@
 			n.table.SetUnreachable(in.Name)
 			return call.Answer{}, false
 		}
-		a, err := conn.Call(ctx, s.next(), n.version())
+		a, err := conn.Call(ctx, s.next(in.Name), n.version())
 		if err == nil {
 			s.note(a)
 			return a, true
--- a/node/sending.go
+++ b/node/sending.go
@@ -19,9 +19,10 @@
 	mayHaveRun bool     // some try was not refused
 }
 
-// next returns the request of the next try.
-func (s *sending) next() call.Request {
+// next returns the request of the next try, to the named instance.
+func (s *sending) next(instance string) call.Request {
 	r := s.r
+	r.To = instance
 	r.Sent = time.Now()
 	r.Remaining = time.Until(s.deadline)
 	r.Budget = s.lend()
