Bound what the dedup window keeps of answers

Cause: every keyed answer was kept with its body for ten minutes. At 27 keyed calls a second and answers of 64 KB that is about 1 GB against the node's 128 MB.

Ruled out: dropping keys (an action could run again).

Change: answers of 32 MB are kept; past that the oldest are dropped and their keys answered "unknown, ran".

--- a/filter/chain_bench_test.go
+++ b/filter/chain_bench_test.go
@@ -17,7 +17,7 @@
 // nothing, for an idempotent call and for a keyed non-idempotent one.
 func BenchmarkChain(b *testing.B) {
 	var leaving atomic.Bool
-	dedup := NewDedup(time.Minute)
+	dedup := NewDedup(time.Minute, 32<<20)
 	h := Chain(HandlerFunc(func(context.Context, *Call) call.Answer { return call.Answer{Status: call.OK} }),
 		Deadline(time.Second), Drain(&leaving), dedup.Filter(), NewAdmission(1<<20).Filter())
 	for _, idem := range []bool{true, false} {
@@ -44,7 +44,9 @@
 		runtime.ReadMemStats(&before)
 		w := NewWindow[call.Key, *run](time.Hour)
 		for i := range keys {
-			w.GetOrPut(call.Key(fmt.Sprintf("release-%012d/freigabe.approve", i)), &run{done: make(chan struct{})})
+			r := &run{done: make(chan struct{})}
+			r.answer.Store(&call.Answer{Status: call.OK})
+			w.GetOrPut(call.Key(fmt.Sprintf("release-%012d/freigabe.approve", i)), r)
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,9 @@
 	// than any deadline in the examples, so a client's late retry still
 	// finds it.
 	dedupWindow = 10 * time.Minute
+	// dedupBytes is what the answers kept for those keys may hold together: a
+	// quarter of the node's 128 MB.
+	dedupBytes = 32 << 20
 	// drainGrace is how long a stopping node keeps answering "leaving"
 	// before it stops listening, so that peers learn of it first.
 	drainGrace = 2 * time.Second
@@ -98,7 +101,7 @@
 		log:       cfg.Log,
 		table:     route.NewTable(cfg.Settings.DC),
 		admission: filter.NewAdmission(1),
-		dedup:     filter.NewDedup(dedupWindow),
+		dedup:     filter.NewDedup(dedupWindow, dedupBytes),
 		ledger:    budget.NewLedger(),
 		client:    cfg.Client,
 		applied:   make(chan struct{}, 1),
--- a/owner/model_test.go
+++ b/owner/model_test.go
@@ -81,7 +81,7 @@
 		p.serve = filter.Chain(filter.HandlerFunc(func(_ context.Context, c *filter.Call) call.Answer {
 			f.runs[c.Request.Key]++
 			return call.Answer{Status: call.OK}
-		}), filter.NewDedup(window).Filter(), filter.Owner(p.book), filter.Drain(&p.leaving))
+		}), filter.NewDedup(window, 1<<20).Filter(), filter.Owner(p.book), filter.Drain(&p.leaving))
 	}
 	p.apply(f.texts[len(f.texts)-1])
 	return p
