--- a/node/outbound.go
+++ b/node/outbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/oatpin/oatpin/budget"
@@ -80,7 +81,11 @@
 	for range 2 {
 		conn, err := n.peers.get(ctx, in)
 		if err != nil {
-			n.table.SetUnreachable(in.Name)
+			// A caller that gave up while the dial went on says nothing
+			// about the peer.
+			if ctx.Err() == nil && !errors.Is(err, errRedialing) {
+				n.table.SetUnreachable(in.Name)
+			}
 			return call.Answer{}, false
 		}
 		a, err := conn.Call(ctx, s.next(in.Name), n.version())
