Say once what was said twice, and take out what nothing calls

Found by reading the whole change again. Behaviour and test assertions stay as they are.

- One pause/stopped for the controllers in place of four selects; one fetchFromNode for exchanges and for a newer version seen in a frame, which now gets a 304 if the text has come meanwhile; one detach, with its reason, for both places where an action leaves its caller; the refusal for an unreachable owner stands once; load.Report.LatencyAt for the two formatters.
- Rank's comparison is a proper order now (it was 1 for equal elements).
- A stream number is taken only for a ping that is sent.
- Tests: startNodeWith, callWith and quiet serve the copies in dial_test, path_test and leaving_test; two results nobody read are gone.

--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -59,10 +59,3 @@
 	delete(l.hops, h)
 	return n
 }
-
-// Len returns the hops open.
-func (l *Ledger) Len() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.hops)
-}
--- a/cmd/oatpin/experiment.go
+++ b/cmd/oatpin/experiment.go
@@ -73,8 +73,6 @@
 	}
 	fmt.Fprintf(c.App.Writer, "| %s | %d | %d | %d | %d | %d | %.2f | %s | %s |\n", mode, sent,
 		res.Report.Classes["critical"].Completed, res.Report.Classes["sheddable"].Completed, refused, failed,
-		float64(res.Arrivals)/float64(sent), us(res.Report.Latency.ValueAtQuantile(99)), recovery)
+		float64(res.Arrivals)/float64(sent), res.Report.LatencyAt(99), recovery)
 	return mode
 }
-
-func us(v int64) string { return (time.Duration(v) * time.Microsecond).String() }
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -62,7 +62,7 @@
 		closeBound(bound)
 		return nil, err
 	}
-	m := &Mesh{Graph: g, Nodes: map[string]*node.Node{}, Targets: map[string]*target.Target{}}
+	m := &Mesh{Graph: g, Nodes: map[string]*node.Node{}, Targets: map[string]*target.Target{}, targetURLs: map[string]string{}}
 	m.Platform, err = platform.New(platform.Config{Text: text, Log: cfg.Log.WithField("process", "platform")})
 	if err == nil {
 		var paddr string
@@ -145,9 +145,6 @@
 	}
 	taddr := m.serve(t.Limit(tl), t.Handler())
 	m.Targets[in.Name] = t
-	if m.targetURLs == nil {
-		m.targetURLs = map[string]string{}
-	}
 	m.targetURLs[in.Name] = "http://" + taddr
 	var dial func(context.Context, string) (net.Conn, error)
 	if cfg.Dial != nil {
--- a/filter/dedup.go
+++ b/filter/dedup.go
@@ -39,9 +39,6 @@
 	return &Dedup{window: NewWindow[call.Key, *run](ttl), maxBytes: maxBytes}
 }
 
-// Len returns the keys held.
-func (d *Dedup) Len() int { return d.window.Len() }
-
 // Filter returns the dedup step of the chain.
 func (d *Dedup) Filter() Filter {
 	return func(next Handler) Handler {
--- a/filter/window.go
+++ b/filter/window.go
@@ -44,13 +44,6 @@
 	w.mu.Unlock()
 }
 
-// Len returns how many keys are held, expired ones not yet swept included.
-func (w *Window[K, V]) Len() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.items)
-}
-
 // sweep drops expired items at most once a ttl, keeping GetOrPut O(1) on
 // average.
 func (w *Window[K, V]) sweep(now time.Time) {
--- a/load/load.go
+++ b/load/load.go
@@ -167,10 +167,14 @@
 		fmt.Fprintf(w, "%-10s %8d %10d %8d %8d %9d\n", class, c.Sent, c.Completed, c.Refused, c.Failed, c.Attempts)
 	}
 	fmt.Fprintf(w, "latency of completed: p50 %s p99 %s max %s\n",
-		us(r.Latency.ValueAtQuantile(50)), us(r.Latency.ValueAtQuantile(99)), us(r.Latency.Max()))
+		r.LatencyAt(50), r.LatencyAt(99), r.LatencyAt(100))
 }
 
-func us(v int64) string { return (time.Duration(v) * time.Microsecond).String() }
+// LatencyAt returns the latency of completed requests at a percentile, 0 to
+// 100.
+func (r *Report) LatencyAt(percentile float64) time.Duration {
+	return time.Duration(r.Latency.ValueAtQuantile(percentile)) * time.Microsecond
+}
 
 // RecoveryAgainst returns how long after second from the per-second
 // goodput first came back to within 10% of its mean over seconds 1 to warm
--- a/node/at_most_once_test.go
+++ b/node/at_most_once_test.go
@@ -49,14 +49,14 @@
 		g := fakeText(t, "idempotent = false", startFakePeer(t, breaksOff))
 		base := startNode(t, g, "back-1", tg.URL)
 		key := call.NewKey("halle-nord")
-		st, _, _ := callKeyed(t, base, "back", "op", key)
+		st := callKeyed(t, base, "back", "op", key)
 		So(st, ShouldEqual, call.OK)
 
 		restarted := startNode(t, g, "back-1", tg.URL)
-		st, _, _ = callKeyed(t, restarted, "back", "op", key)
+		st = callKeyed(t, restarted, "back", "op", key)
 		So(st, ShouldEqual, call.Unknown)
 		So(runs.Load(), ShouldEqual, 1)
-		st, _, _ = callKeyed(t, restarted, "back", "op", call.NewKey("halle-nord"))
+		st = callKeyed(t, restarted, "back", "op", call.NewKey("halle-nord"))
 		So(st, ShouldEqual, call.OK)
 	})
 }
@@ -69,7 +69,7 @@
 	m := startMesh(t, examples.KesslerRaab)
 	Convey("A key that ran at a leaving instance is answered from there", t, func() {
 		key := call.NewKey("halle-nord")
-		st, _, _ := callKeyed(t, entry(m, "entwurf", 0), "versand", "dispatch", key)
+		st := callKeyed(t, entry(m, "entwurf", 0), "versand", "dispatch", key)
 		So(st, ShouldEqual, call.OK)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
@@ -77,13 +77,13 @@
 		for m.Nodes["versand-1"].Ready() {
 		}
 		for i := range 3 {
-			st, _, _ = callKeyed(t, entry(m, "entwurf", i), "versand", "dispatch", key)
+			st = callKeyed(t, entry(m, "entwurf", i), "versand", "dispatch", key)
 			So(st, ShouldEqual, call.OK)
 		}
 		So(dispatched(m, key), ShouldEqual, 1)
 
 		next := call.NewKey("halle-nord")
-		st, _, _ = callKeyed(t, entry(m, "entwurf", 0), "versand", "dispatch", next)
+		st = callKeyed(t, entry(m, "entwurf", 0), "versand", "dispatch", next)
 		So(st, ShouldEqual, call.OK)
 		So(dispatched(m, next), ShouldEqual, 1)
 		So(m.Targets["versand-1"].Effects()[next], ShouldEqual, 0)
@@ -110,22 +110,22 @@
 	Convey("During the cut, all halls serve their own work", t, func() {
 		So(publish(t, m, 60), ShouldEqual, 60)
 		for i := range 30 {
-			st, _, _ := callOp(t, entry(m, "entwurf", i%3), "entwurf", "read_draft")
+			st := callOp(t, entry(m, "entwurf", i%3), "entwurf", "read_draft")
 			So(st, ShouldEqual, call.OK)
 		}
 	})
 	key := call.NewKey("halle-nord")
 	Convey("A publication of halle-nord is not run again by another hall", t, func() {
-		st, _, _ := callKeyed(t, entry(m, "entwurf", 0), "entwurf", "publish", key)
+		st := callKeyed(t, entry(m, "entwurf", 0), "entwurf", "publish", key)
 		So(st, ShouldEqual, call.OK)
-		st, _, _ = callKeyed(t, entry(m, "entwurf", 1), "entwurf", "publish", key)
+		st = callKeyed(t, entry(m, "entwurf", 1), "entwurf", "publish", key)
 		So(st, ShouldEqual, call.NotRun)
 		So(dispatched(m, dispatchOf(key)), ShouldEqual, 1)
 	})
 	c.on.Store(false)
 	Convey("After the cut the second hall gets the first run's answer", t, func() {
 		time.Sleep(time.Second) // halle-sued avoids instances it could not dial for 1 s
-		st, _, _ := callKeyed(t, entry(m, "entwurf", 1), "entwurf", "publish", key)
+		st := callKeyed(t, entry(m, "entwurf", 1), "entwurf", "publish", key)
 		So(st, ShouldEqual, call.OK)
 		So(dispatched(m, dispatchOf(key)), ShouldEqual, 1)
 		So(publish(t, m, 30), ShouldEqual, 30)
--- a/node/config.go
+++ b/node/config.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/rotisserie/eris"
 )
@@ -56,37 +55,42 @@
 // long-polls the platform, and goes on serving with the text it has while
 // the platform is down.
 func (n *Node) watchConfig() {
-	for {
-		select {
-		case <-n.stop:
-			return
-		default:
-		}
+	for !n.stopped() {
 		changed, err := n.pollPlatform()
 		if err != nil {
 			if !n.alone.Swap(true) {
 				n.log.WithError(err).Warn("platform_unreachable")
 			}
-			select {
-			case <-n.stop:
-				return
-			case <-time.After(watchBackoff):
-			}
+			n.pause(watchBackoff)
 			continue
 		}
 		if n.alone.Swap(false) {
 			n.log.Info("platform_reachable")
 		}
 		if changed {
-			select {
-			case <-n.stop:
-				return
-			case <-time.After(rand.N(rewatchSpread)):
-			}
+			n.pause(rand.N(rewatchSpread))
 		}
 	}
 }
 
+// pause waits for d, or until the node stops.
+func (n *Node) pause(d time.Duration) {
+	select {
+	case <-n.stop:
+	case <-time.After(d):
+	}
+}
+
+// stopped reports whether the node's controllers are to end.
+func (n *Node) stopped() bool {
+	select {
+	case <-n.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // pollPlatform waits once at the platform for a text newer than the one in
 // force and reports whether one came.
 func (n *Node) pollPlatform() (bool, error) {
@@ -168,17 +172,13 @@
 		return
 	}
 	if _, in, ok := g.Instance(instance); ok {
-		go n.fetchFromPeer(in.HTTP)
+		go func() {
+			defer n.fetching.Store(false)
+			if err := n.fetchFromNode(in.HTTP); err != nil {
+				n.log.WithField("peer", in.HTTP).WithError(err).Warn("peer_config_failed")
+			}
+		}()
 		return
 	}
 	n.fetching.Store(false)
 }
-
-func (n *Node) fetchFromPeer(httpAddr string) {
-	defer n.fetching.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	if err := n.fetchConfig(ctx, "http://"+httpAddr+"/v1/config"); err != nil {
-		n.log.WithFields(log.Fields{"peer": httpAddr}).WithError(err).Warn("peer_config_failed")
-	}
-}
--- a/node/dial_test.go
+++ b/node/dial_test.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/node"
 	"github.com/oatpin/oatpin/settings"
@@ -22,29 +20,21 @@
 	Convey("A hundred calls at once cause one dial, and are told not_run", t, func() {
 		var dials atomic.Int32
 		g := fakeText(t, "idempotent = true\ndeadline = 5s", startFakePeer(t, breaksOff))
-		hl, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		pl, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		defer hl.Close()
-		n := node.New(node.Config{
-			Settings: settings.Node{Instance: "front-1", DC: "halle-nord", Target: "http://127.0.0.1:1", Platform: "http://127.0.0.1:1"},
-			Graph:    g,
-			Log:      &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
+		base := startNodeWith(t, g, node.Config{
+			Settings: settings.Node{Instance: "front-1", Target: "http://127.0.0.1:1"},
 			Dial: func(ctx context.Context, _ string) (net.Conn, error) {
 				dials.Add(1)
 				<-ctx.Done()
 				return nil, ctx.Err()
 			},
 		})
-		go n.ServeOn(hl, pl)
 		var refused atomic.Int32
 		var wg sync.WaitGroup
 		for range 100 {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				if st, _, _ := callOp(t, "http://"+hl.Addr().String(), "back", "op"); st == call.NotRun {
+				if st := callOp(t, base, "back", "op"); st == call.NotRun {
 					refused.Add(1)
 				}
 			}()
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -55,11 +55,17 @@
 	if addr == "" {
 		return
 	}
+	// An unreachable node is no event: the next exchange asks another.
+	n.fetchFromNode(addr)
+}
+
+// fetchFromNode asks another node for its text if that is newer, telling it
+// the version held here.
+func (n *Node) fetchFromNode(addr string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeWait)
 	defer cancel()
 	q := url.Values{"after": {strconv.FormatUint(n.version(), 10)}, "from": {n.cfg.Settings.Instance}}
-	// An unreachable node is no event: the next exchange asks another.
-	n.fetchConfig(ctx, "http://"+addr+"/v1/config?"+q.Encode())
+	return n.fetchConfig(ctx, "http://"+addr+"/v1/config?"+q.Encode())
 }
 
 // anyNode returns the HTTP address of a random other node, or "".
--- a/node/exchange_test.go
+++ b/node/exchange_test.go
@@ -23,7 +23,7 @@
 		v2, err := callgraph.Parse(bump(m.Graph.Text, 2))
 		So(err, ShouldBeNil)
 		So(m.Nodes["archiv-1"].Apply(v2), ShouldBeTrue)
-		joiner := node.New(node.Config{Settings: settings.Node{
+		joiner := node.New(node.Config{Log: quiet(), Settings: settings.Node{
 			Instance: "archiv-7", DC: "halle-west", HTTP: "127.0.0.1:0", Peer: "127.0.0.1:0",
 			Target: "http://127.0.0.1:1", Platform: m.PlatformURL,
 			Seeds: []string{m.Graph.Services["versand"].Instances[2].HTTP},
--- a/node/fake_test.go
+++ b/node/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -107,13 +108,22 @@
 	return g
 }
 
+// quiet is a logger that writes nothing.
+func quiet() log.Interface { return &log.Logger{Handler: discard.New(), Level: log.InfoLevel} }
+
 // startNode runs the node of one instance of g alone, before the target at
 // base URL target, with a platform stand-in, and returns its own base URL.
 func startNode(t testing.TB, g *callgraph.Graph, instance, target string) string {
 	t.Helper()
-	_, in, ok := g.Instance(instance)
+	return startNodeWith(t, g, node.Config{Settings: settings.Node{Instance: instance, Target: target}})
+}
+
+// startNodeWith does the same for the node that cfg describes.
+func startNodeWith(t testing.TB, g *callgraph.Graph, cfg node.Config) string {
+	t.Helper()
+	_, in, ok := g.Instance(cfg.Settings.Instance)
 	if !ok {
-		t.Fatalf("%s is not in the text", instance)
+		t.Fatalf("%s is not in the text", cfg.Settings.Instance)
 	}
 	var ls [2]net.Listener
 	for i := range ls {
@@ -122,48 +132,58 @@
 			t.Fatal(err)
 		}
 	}
-	p, err := platform.New(platform.Config{Text: g.Text})
+	p, err := platform.New(platform.Config{Text: g.Text, Log: quiet()})
 	if err != nil {
 		t.Fatal(err)
 	}
 	srv := httptest.NewServer(p.Handler())
 	t.Cleanup(srv.CloseClientConnections)
-	n := node.New(node.Config{
-		Settings: settings.Node{Instance: instance, DC: in.DC, Target: target, Platform: srv.URL},
-		Graph:    g,
-		Log:      &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
-	})
+	cfg.Graph, cfg.Log = g, quiet()
+	cfg.Settings.DC, cfg.Settings.Platform = in.DC, srv.URL
+	n := node.New(cfg)
 	go n.ServeOn(ls[0], ls[1])
 	t.Cleanup(func() { ls[0].Close(); ls[1].Close() })
 	for end := time.Now().Add(5 * time.Second); !n.Ready(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("%s is not ready", instance)
+			t.Fatalf("%s is not ready", in.Name)
 		}
 	}
 	return "http://" + ls[0].Addr().String()
 }
 
-// callOp posts one call of service.op to the node at base and returns the
-// status, the retries the answer admits to and the reason.
-func callOp(t testing.TB, base, service, op string) (call.Status, string, string) {
+// callOp posts one call of service.op to the node at base and returns how it
+// ended.
+func callOp(t testing.TB, base, service, op string) call.Status {
 	t.Helper()
 	return callKeyed(t, base, service, op, "")
 }
 
 // callKeyed does the same with an idempotency key, if it is not empty.
-func callKeyed(t testing.TB, base, service, op string, key call.Key) (call.Status, string, string) {
+func callKeyed(t testing.TB, base, service, op string, key call.Key) call.Status {
+	t.Helper()
+	st, _ := callWith(t, base, service, op, call.Request{Key: key})
+	return st
+}
+
+// callWith posts one call of service.op with the id and key of r, if they
+// are not empty, and returns how it ended and the body.
+func callWith(t testing.TB, base, service, op string, r call.Request) (call.Status, string) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, base+"/v1/call/"+service+"/"+op, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if key != "" {
-		req.Header.Set(call.HeaderKey, string(key))
+	if r.ID != "" {
+		req.Header.Set(call.HeaderRequestID, string(r.ID))
+	}
+	if r.Key != "" {
+		req.Header.Set(call.HeaderKey, string(r.Key))
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
 	}
-	resp.Body.Close()
-	return call.Status(resp.Header.Get(call.HeaderStatus)), resp.Header.Get(call.HeaderRetries), resp.Header.Get(call.HeaderReason)
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return call.Status(resp.Header.Get(call.HeaderStatus)), string(body)
 }
--- a/node/give_up_test.go
+++ b/node/give_up_test.go
@@ -57,7 +57,7 @@
 		base := startNode(t, fakeText(t, "idempotent = false\ndeadline = 10s", startFakePeer(t, breaksOff)), "back-1", tg.URL)
 		key := call.NewKey("halle-nord")
 		leave(base, "back", "op", key)
-		st, _, _ := callKeyed(t, base, "back", "op", key)
+		st := callKeyed(t, base, "back", "op", key)
 		So(st, ShouldEqual, call.OK)
 	})
 }
--- a/node/inbound.go
+++ b/node/inbound.go
@@ -43,13 +43,7 @@
 	}
 	hop := budget.Hop(string(r.ID) + "/" + strconv.FormatUint(n.hops.Add(1), 36))
 	n.ledger.Open(hop, r.Budget)
-	if !op.Idempotent {
-		// Once begun, an action runs to its end or its deadline: broken off
-		// because its caller left or a connection closed, nobody could say
-		// whether it ran.
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx = context.WithValue(ctx, hopKey{}, hop)
+	ctx = context.WithValue(detach(ctx, op), hopKey{}, hop)
 	a := n.local.Serve(ctx, &filter.Call{Request: &r, Op: op})
 	a.RetriesUsed = r.Budget - n.ledger.Close(hop)
 	n.stats.answered("local", op.Class, a.Status)
--- a/node/keyed.go
+++ b/node/keyed.go
@@ -30,10 +30,11 @@
 		if !ok {
 			return unowned(s, onlyLeaving)
 		}
-		if n.table.Unreachable(in.Name) {
-			return call.Refuse(s.r, "the instance that has this key is unreachable", unreachableRetryAfter)
+		var a call.Answer
+		sent := false
+		if !n.table.Unreachable(in.Name) {
+			a, sent = n.send(ctx, s, in)
 		}
-		a, sent := n.send(ctx, s, in)
 		switch {
 		case !sent:
 			return call.Refuse(s.r, "the instance that has this key is unreachable", unreachableRetryAfter)
--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"testing"
 	"time"
 
@@ -23,15 +22,8 @@
 	t.Helper()
 	ok := 0
 	for i := range n {
-		in := m.Graph.Services["entwurf"].Instances[i%3]
-		req, _ := http.NewRequest(http.MethodPost, "http://"+in.HTTP+"/v1/call/entwurf/publish", nil)
-		req.Header.Set(call.HeaderKey, string(call.NewKey(string(in.DC))))
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			t.Fatal(err)
-		}
-		resp.Body.Close()
-		if resp.StatusCode == http.StatusOK {
+		home := m.Graph.Services["entwurf"].Instances[i%3].DC
+		if callKeyed(t, entry(m, "entwurf", i%3), "entwurf", "publish", call.NewKey(string(home))) == call.OK {
 			ok++
 		}
 	}
--- a/node/lost_answer_test.go
+++ b/node/lost_answer_test.go
@@ -22,7 +22,7 @@
 		p1, p2 := startFakePeer(t, breaksOff), startFakePeer(t, breaksOff)
 		g := fakeText(t, "idempotent = true\nretries = 2", p1, p2)
 		base := startNode(t, g, "front-1", "http://127.0.0.1:1")
-		st, _, _ := callOp(t, base, "back", "op")
+		st := callOp(t, base, "back", "op")
 		So(st, ShouldEqual, call.Unknown)
 		sent := append(p1.requests(), p2.requests()...)
 		So(len(sent), ShouldBeGreaterThanOrEqualTo, 2) // it did retry
@@ -48,7 +48,7 @@
 		}
 		g := fakeText(t, "idempotent = true\nretries = 2", startFakePeer(t, script), startFakePeer(t, script))
 		base := startNode(t, g, "front-1", "http://127.0.0.1:1")
-		st, _, _ := callOp(t, base, "back", "op")
+		st := callOp(t, base, "back", "op")
 		So(st, ShouldEqual, call.Unknown)
 	})
 }
@@ -74,9 +74,9 @@
 		}()
 		g := fakeText(t, "idempotent = false", startFakePeer(t, breaksOff))
 		base := startNode(t, g, "back-1", "http://"+l.Addr().String())
-		st, _, _ := callOp(t, base, "back", "op")
+		st := callOp(t, base, "back", "op")
 		So(st, ShouldEqual, call.OK)
-		st, _, _ = callOp(t, base, "back", "op")
+		st = callOp(t, base, "back", "op")
 		So(st, ShouldEqual, call.Unknown)
 		So(runs.Load(), ShouldEqual, 2)
 	})
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -19,10 +19,7 @@
 		lease = n.ledger.Lease(hop)
 	}
 	s := &sending{r: r, op: op, lease: lease, deadline: time.Now().Add(r.Remaining)}
-	if !op.Idempotent {
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithDeadline(ctx, s.deadline)
+	ctx, cancel := context.WithDeadline(detach(ctx, op), s.deadline)
 	defer cancel()
 	var a call.Answer
 	if op.Idempotent {
@@ -38,6 +35,16 @@
 	return a
 }
 
+// detach frees an action from its caller and connection. Once begun it runs
+// to its end or its deadline: broken off because its caller left or a
+// connection closed, nobody could say whether it ran.
+func detach(ctx context.Context, op *callgraph.Operation) context.Context {
+	if op.Idempotent {
+		return ctx
+	}
+	return context.WithoutCancel(ctx)
+}
+
 // sendToAny sends an idempotent call to instances of its service in turn. A
 // re-pick after a refusal that ran nothing because the instance was leaving
 // or unreachable spends no budget, and is bounded by the number of
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/demo"
 	"github.com/oatpin/oatpin/examples"
@@ -29,7 +25,7 @@
 func startMeshWith(t testing.TB, cfg demo.Config) *demo.Mesh {
 	t.Helper()
 	cfg.Platform, cfg.AnyPort = "127.0.0.1:0", true
-	cfg.Log = &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	cfg.Log = quiet()
 	m, err := demo.Start(cfg)
 	if err != nil {
 		t.Fatal(err)
@@ -46,22 +42,7 @@
 // answer's status and body.
 func send(t *testing.T, m *demo.Mesh, service, op, key string) (call.Status, string) {
 	t.Helper()
-	in := m.Graph.Services[service].Instances[0]
-	req, err := http.NewRequest(http.MethodPost, "http://"+in.HTTP+"/v1/call/"+service+"/"+op, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if key != "" {
-		req.Header.Set(call.HeaderKey, key)
-		req.Header.Set(call.HeaderRequestID, key)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	body, _ := io.ReadAll(resp.Body)
-	return call.Status(resp.Header.Get(call.HeaderStatus)), string(body)
+	return callWith(t, entry(m, service, 0), service, op, call.Request{ID: call.RequestID(key), Key: call.Key(key)})
 }
 
 func TestPublicationCrossesTheWholeChain(t *testing.T) {
--- a/node/silent_test.go
+++ b/node/silent_test.go
@@ -16,7 +16,7 @@
 		sound := startFakePeer(t, func(call.Request) *call.Answer { return &call.Answer{Status: call.OK} })
 		base := startNode(t, fakeText(t, "idempotent = true\nretries = 1\ndeadline = 5s", silent, sound), "front-1", "http://127.0.0.1:1")
 		for range 2 { // one of the two is picked for each
-			st, _, _ := callOp(t, base, "back", "op")
+			st := callOp(t, base, "back", "op")
 			So(st, ShouldEqual, call.OK)
 		}
 		So(silent.requests(), ShouldNotBeEmpty)
--- a/node/vms.go
+++ b/node/vms.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/oatpin/oatpin/platform"
 	"github.com/rotisserie/eris"
@@ -23,23 +22,16 @@
 // While it cannot be read the last one stays in force: it is a hint.
 func (n *Node) watchVMs() {
 	var revision uint64
-	for {
+	for !n.stopped() {
 		next, err := n.pollVMs(revision)
-		pause := time.Duration(0)
-		switch {
-		case err != nil:
-			pause = watchBackoff
-		case next != revision && revision != 0:
-			pause = rand.N(rewatchSpread)
+		if err != nil {
+			n.pause(watchBackoff)
+			continue
 		}
-		if err == nil {
-			revision = next
-		}
-		select {
-		case <-n.stop:
-			return
-		case <-time.After(pause):
+		if next != revision && revision != 0 {
+			n.pause(rand.N(rewatchSpread))
 		}
+		revision = next
 	}
 }
 
--- a/owner/rank.go
+++ b/owner/rank.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,11 +36,13 @@
 		all[i] = scored{in: in, home: in.DC == home, score: xxhash.Sum64String(string(key) + "\x00" + in.Name)}
 	}
 	slices.SortFunc(all, func(a, b scored) int {
-		switch {
-		case a.home != b.home && a.home, a.home == b.home && a.score > b.score:
-			return -1
+		if a.home != b.home {
+			if a.home {
+				return -1
+			}
+			return 1
 		}
-		return 1
+		return cmp.Compare(b.score, a.score)
 	})
 	ranked := make([]callgraph.Instance, len(all))
 	for i, s := range all {
--- a/target/target.go
+++ b/target/target.go
@@ -49,7 +49,6 @@
 
 		mu      sync.Mutex
 		effects map[call.Key]int // commits of non-idempotent actions by key
-		served  int
 	}
 )
 
@@ -127,13 +126,6 @@
 	return out
 }
 
-// Served returns how many operations completed.
-func (t *Target) Served() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.served
-}
-
 func (t *Target) handleOp(w http.ResponseWriter, req *http.Request) {
 	t.arrivals.Add(1)
 	op := t.service.Operations[req.PathValue("operation")]
@@ -206,12 +198,11 @@
 	case <-ctx.Done():
 		return []byte("cancelled"), call.Failed, ""
 	}
-	t.mu.Lock()
 	if !op.Idempotent {
+		t.mu.Lock()
 		t.effects[r.Key]++
+		t.mu.Unlock()
 	}
-	t.served++
-	t.mu.Unlock()
 	return out.Bytes(), call.OK, ""
 }
 
--- a/wire/silence.go
+++ b/wire/silence.go
@@ -37,7 +37,9 @@
 	heard := c.heard.Swap(false)
 	c.mu.Lock()
 	ping, silent := c.silence.next(heard, len(c.pending) > 0)
-	c.next++
+	if ping {
+		c.next++
+	}
 	s := c.next
 	c.mu.Unlock()
 	switch {
