Keep a text's acceptance time still as nodes pass it on

Cause: Last-Modified has whole seconds, so the reader adds one to be on the safe side; a node that passed the text on wrote the time so raised, and the next added a second again. After ten nodes a text looked 10 s newer, and a node that restarts declines keys until 10 s after it.

Ruled out: harm to at most once (the drift errs towards declining).

Before/after: TestAcceptedTimeDoesNotDriftBetweenNodes (ten nodes): the time moved, now it is the first node's; a text without the header still counts as accepted no earlier than its arrival, at the next node too.

Conclusion: writer and reader stand together and undo each other.

--- a/node/config.go
+++ b/node/config.go
@@ -149,12 +149,21 @@
 	return nil
 }
 
+// setAccepted tells the next node when a text was accepted, if that is known.
+// It takes back the second that acceptedAt adds, or the time would move on by
+// one with every node that passes the text on.
+func setAccepted(h http.Header, t time.Time) {
+	if !t.IsZero() {
+		h.Set("Last-Modified", t.Add(-time.Second).UTC().Format(http.TimeFormat))
+	}
+}
+
 // acceptedAt reads when a text was accepted. The header has whole seconds
 // cut off, so the second's end is taken; without one it may be brand new.
 func acceptedAt(h http.Header) time.Time {
 	t, err := http.ParseTime(h.Get("Last-Modified"))
 	if err != nil {
-		return time.Now()
+		t = time.Now().Truncate(time.Second)
 	}
 	return t.Add(time.Second)
 }
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -104,9 +104,7 @@
 	n.onPeerVersion(r.URL.Query().Get("from"), after)
 	h := w.Header()
 	h.Set("Oatpin-Config-Version", strconv.FormatUint(uint64(g.Version), 10))
-	if !g.Accepted.IsZero() {
-		h.Set("Last-Modified", g.Accepted.UTC().Format(http.TimeFormat))
-	}
+	setAccepted(h, g.Accepted)
 	if uint64(g.Version) <= after {
 		w.WriteHeader(http.StatusNotModified)
 		return
