Name the configuration service's stand-in for what it is, and share the peer pool

platform/ is to hold the translation to the users' platform alone, so the stand-in of the configuration service moves to configservice/. The pool of peer connections moves from node/ to wire/: the request path on the platform needs the same pool, and it knows nothing of texts.

No behaviour changes: the tests of node, wire and configservice pass as they were.

--- a/cmd/oatpin/roles.go
+++ b/cmd/oatpin/roles.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/configservice"
 	"github.com/oatpin/oatpin/node"
-	"github.com/oatpin/oatpin/platform"
 	"github.com/oatpin/oatpin/settings"
 	"github.com/oatpin/oatpin/target"
 	"github.com/oatpin/oatpin/timeline"
@@ -100,7 +100,7 @@
 			return err
 		}
 		defer closer.Close()
-		p, err := platform.New(platform.Config{Text: text, Log: lg})
+		p, err := configservice.New(configservice.Config{Text: text, Log: lg})
 		if err != nil {
 			return err
 		}
--- a/platform/vms_test.go
+++ b/configservice/vms_test.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"encoding/json"
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -8,8 +8,8 @@
 
 	"github.com/apex/log"
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/configservice"
 	"github.com/oatpin/oatpin/node"
-	"github.com/oatpin/oatpin/platform"
 	"github.com/oatpin/oatpin/settings"
 	"github.com/oatpin/oatpin/target"
 	"github.com/rotisserie/eris"
@@ -38,7 +38,7 @@
 	// Mesh is one running deployment.
 	Mesh struct {
 		Graph    *callgraph.Graph
-		Platform *platform.Platform
+		Platform *configservice.Platform
 		Nodes    map[string]*node.Node
 		Targets  map[string]*target.Target
 		// PlatformURL is the base URL of the platform stand-in.
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	m := &Mesh{Graph: g, Nodes: map[string]*node.Node{}, Targets: map[string]*target.Target{}, targetURLs: map[string]string{}}
-	m.Platform, err = platform.New(platform.Config{Text: text, Log: cfg.Log.WithField("process", "platform")})
+	m.Platform, err = configservice.New(configservice.Config{Text: text, Log: cfg.Log.WithField("process", "platform")})
 	if err == nil {
 		var paddr string
 		paddr, err = m.listen(cfg.Platform, m.Platform.Handler())
--- a/node/at_most_once_test.go
+++ b/node/at_most_once_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/configservice"
 	"github.com/oatpin/oatpin/demo"
 	"github.com/oatpin/oatpin/examples"
-	"github.com/oatpin/oatpin/platform"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -106,7 +106,7 @@
 		So(publish(t, m, 30), ShouldEqual, 30)
 	})
 	c.on.Store(true)
-	m.Platform.SetMode(platform.ModeDown)
+	m.Platform.SetMode(configservice.ModeDown)
 	Convey("During the cut, all halls serve their own work", t, func() {
 		So(publish(t, m, 60), ShouldEqual, 60)
 		for i := range 30 {
--- a/node/exchange_test.go
+++ b/node/exchange_test.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/configservice"
 	"github.com/oatpin/oatpin/examples"
 	"github.com/oatpin/oatpin/node"
-	"github.com/oatpin/oatpin/platform"
 	"github.com/oatpin/oatpin/settings"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -19,7 +19,7 @@
 func TestTextSpreadsWithoutPlatformOrCalls(t *testing.T) {
 	m := startMesh(t, examples.KesslerRaab)
 	Convey("All nodes and a late joiner get the text from each other", t, func() {
-		m.Platform.SetMode(platform.ModeDown)
+		m.Platform.SetMode(configservice.ModeDown)
 		v2, err := callgraph.Parse(bump(m.Graph.Text, 2))
 		So(err, ShouldBeNil)
 		So(m.Nodes["archiv-1"].Apply(v2), ShouldBeTrue)
--- a/node/fake_test.go
+++ b/node/fake_test.go
@@ -16,8 +16,8 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/configservice"
 	"github.com/oatpin/oatpin/node"
-	"github.com/oatpin/oatpin/platform"
 	"github.com/oatpin/oatpin/settings"
 	"github.com/oatpin/oatpin/wire"
 	"github.com/vmihailenco/msgpack/v5"
@@ -132,7 +132,7 @@
 			t.Fatal(err)
 		}
 	}
-	p, err := platform.New(platform.Config{Text: g.Text, Log: quiet()})
+	p, err := configservice.New(configservice.Config{Text: g.Text, Log: quiet()})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -77,7 +77,7 @@
 		ledger    *budget.Ledger
 		leaving   atomic.Bool
 		local     filter.Handler
-		peers     *peers
+		peers     *wire.Pool
 		client    *http.Client
 		retry     retryPolicy
 		hops      atomic.Uint64
@@ -114,7 +114,7 @@
 		n.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
 	}
 	n.stats = newStats(cfg.Settings.Instance)
-	n.peers = newPeers(n.log, cfg, n.onPeerVersion)
+	n.peers = wire.NewPool(wire.PoolConfig{From: cfg.Settings.Instance, Log: n.log, OnVersion: n.onPeerVersion, Dial: cfg.Dial})
 	n.book = owner.NewBook(owner.Config{Instance: cfg.Settings.Instance, Window: dedupWindow, Skew: cfg.Skew, Gone: n.gone})
 	n.local = filter.Chain(filter.HandlerFunc(n.callTarget),
 		filter.Deadline(cfg.Skew),
@@ -158,7 +158,7 @@
 	go n.watchConfig()
 	go n.watchVMs()
 	go n.exchangeTexts()
-	go n.peers.keepAlive(n.stop)
+	go n.peers.KeepAlive(n.stop)
 	go n.wire.Serve(pl)
 	n.log.WithFields(log.Fields{"http": hl.Addr().String(), "peer": pl.Addr().String()}).Info("node_started")
 	go func() { <-n.stop; pl.Close() }()
@@ -185,7 +185,7 @@
 	n.stopOnce.Do(func() { close(n.stop) })
 	err := n.http.Shutdown(ctx)
 	n.wire.CloseConns()
-	n.peers.closeAll()
+	n.peers.CloseAll()
 	n.log.Info("node_stopped")
 	return err
 }
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -8,6 +8,7 @@
 	"github.com/oatpin/oatpin/budget"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/wire"
 )
 
 // forward routes a call to a node of its service and retries within the
@@ -86,11 +87,11 @@
 	// A connection can close between get and Call, before anything is
 	// written; the second get dials anew.
 	for range 2 {
-		conn, err := n.peers.get(ctx, in)
+		conn, err := n.peers.Get(ctx, wire.Peer{Name: in.Name, Addr: in.Peer})
 		if err != nil {
 			// A caller that gave up while the dial went on says nothing
 			// about the peer.
-			if ctx.Err() == nil && !errors.Is(err, errRedialing) {
+			if ctx.Err() == nil && !errors.Is(err, wire.ErrRedialing) {
 				n.table.SetUnreachable(in.Name)
 			}
 			return call.Answer{}, false
--- a/node/spread_test.go
+++ b/node/spread_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/configservice"
 	"github.com/oatpin/oatpin/demo"
 	"github.com/oatpin/oatpin/examples"
-	"github.com/oatpin/oatpin/platform"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -55,7 +55,7 @@
 	})
 
 	Convey("While the platform is down, nodes pass a newer text to each other", t, func() {
-		m.Platform.SetMode(platform.ModeDown)
+		m.Platform.SetMode(configservice.ModeDown)
 		v3, err := callgraph.Parse(bump(text, 3))
 		So(err, ShouldBeNil)
 		So(m.Nodes["archiv-1"].Apply(v3), ShouldBeTrue)
@@ -69,7 +69,7 @@
 	})
 
 	Convey("A stale platform serving the older text moves no node back", t, func() {
-		m.Platform.SetMode(platform.ModeStale)
+		m.Platform.SetMode(configservice.ModeStale)
 		time.Sleep(2 * time.Second) // two watch backoffs
 		for name, v := range m.Versions() {
 			So(fmt.Sprint(name, v), ShouldEqual, fmt.Sprint(name, 3))
--- a/node/vms.go
+++ b/node/vms.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/oatpin/oatpin/platform"
+	"github.com/oatpin/oatpin/configservice"
 	"github.com/rotisserie/eris"
 )
 
@@ -57,7 +57,7 @@
 	default:
 		return 0, eris.Errorf("vm list: %s", resp.Status)
 	}
-	var list platform.VMList
+	var list configservice.VMList
 	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
 		return 0, eris.Wrap(err, "vm list")
 	}
@@ -65,7 +65,7 @@
 	return list.Revision, nil
 }
 
-func (n *Node) applyVMs(list platform.VMList) {
+func (n *Node) applyVMs(list configservice.VMList) {
 	if list.Full {
 		n.table.ClearListed()
 	}
--- a/node/peers.go
+++ b/wire/pool.go
@@ -1,33 +1,47 @@
-package node
+package wire
 
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/oatpin/oatpin/callgraph"
-	"github.com/oatpin/oatpin/wire"
 	"github.com/rotisserie/eris"
 )
 
 // dialTimeout bounds one dial of a peer.
 const dialTimeout = time.Second
 
-// errRedialing is returned while a peer that could not be dialled is being
+// ErrRedialing is returned by Get while a peer that could not be dialled is being
 // dialled again.
-var errRedialing = eris.New("peer is being dialled again after a failure")
+var ErrRedialing = eris.New("peer is being dialled again after a failure")
 
 type (
-	// peers holds one multiplexed connection per peer node address.
-	peers struct {
-		log      log.Interface
-		cfg      Config
-		onConfig func(instance string, version uint64)
+	// Peer is a node that calls are sent to.
+	Peer struct {
+		Name string // instance beside the node
+		Addr string // host:port of the node's msgpack listener
+	}
+
+	// PoolConfig is what a Pool is built from.
+	PoolConfig struct {
+		From string // this node's instance name, sent with each request
+		Log  log.Interface
+		// OnVersion is told the text version that each answer of a peer
+		// carries; may be nil.
+		OnVersion func(peer string, version uint64)
+		// Dial opens the network connection; nil for TCP.
+		Dial func(ctx context.Context, addr string) (net.Conn, error)
+	}
+
+	// Pool holds one multiplexed connection per peer node address.
+	Pool struct {
+		cfg PoolConfig
 
 		mu     sync.Mutex
-		conns  map[string]*wire.Conn
+		conns  map[string]*Conn
 		dials  map[string]*dial // going on
 		failed map[string]bool  // the last dial failed
 		closed bool
@@ -37,24 +51,24 @@
 	// done closes when conn or err is set.
 	dial struct {
 		done chan struct{}
-		conn *wire.Conn
+		conn *Conn
 		err  error
 	}
 )
 
-func newPeers(l log.Interface, cfg Config, onConfig func(string, uint64)) *peers {
-	return &peers{log: l, cfg: cfg, onConfig: onConfig, conns: map[string]*wire.Conn{},
-		dials: map[string]*dial{}, failed: map[string]bool{}}
+// NewPool returns a Pool without connections.
+func NewPool(cfg PoolConfig) *Pool {
+	return &Pool{cfg: cfg, conns: map[string]*Conn{}, dials: map[string]*dial{}, failed: map[string]bool{}}
 }
 
-// get returns the open connection to an instance's node, dialling one if
+// Get returns the open connection to a peer, dialling one if
 // there is none or the last one closed. Calls that come together share one
 // dial: a hundred at once would only hold up a peer that is coming back. If
 // the dial before it failed, only the call that began this one waits for it;
 // a peer behind a cut would otherwise hold every call for dialTimeout, again
 // and again.
-func (p *peers) get(ctx context.Context, in callgraph.Instance) (*wire.Conn, error) {
-	addr := in.Peer
+func (p *Pool) Get(ctx context.Context, peer Peer) (*Conn, error) {
+	addr := peer.Addr
 	p.mu.Lock()
 	if c := p.conns[addr]; c != nil && c.Err() == nil {
 		p.mu.Unlock()
@@ -63,12 +77,12 @@
 	d := p.dials[addr]
 	if d != nil && p.failed[addr] {
 		p.mu.Unlock()
-		return nil, errRedialing
+		return nil, ErrRedialing
 	}
 	if d == nil {
 		d = &dial{done: make(chan struct{})}
 		p.dials[addr] = d
-		go p.connect(in, d)
+		go p.connect(peer, d)
 	}
 	p.mu.Unlock()
 	select {
@@ -81,29 +95,32 @@
 
 // connect carries out d. It is not bound to the call that began it: others
 // wait for the outcome too.
-func (p *peers) connect(in callgraph.Instance, d *dial) {
+func (p *Pool) connect(peer Peer, d *dial) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	d.conn, d.err = wire.Dial(ctx, in.Peer, wire.DialConfig{From: p.cfg.Settings.Instance, Dial: p.cfg.Dial,
-		OnVersion: func(v uint64) { p.onConfig(in.Name, v) }})
+	cfg := DialConfig{From: p.cfg.From, Dial: p.cfg.Dial}
+	if p.cfg.OnVersion != nil {
+		cfg.OnVersion = func(v uint64) { p.cfg.OnVersion(peer.Name, v) }
+	}
+	d.conn, d.err = Dial(ctx, peer.Addr, cfg)
 	p.mu.Lock()
-	delete(p.dials, in.Peer)
-	p.failed[in.Peer] = d.err != nil
+	delete(p.dials, peer.Addr)
+	p.failed[peer.Addr] = d.err != nil
 	switch {
 	case d.err != nil:
 	case p.closed:
 		d.conn.Close()
 	default:
-		p.conns[in.Peer] = d.conn
+		p.conns[peer.Addr] = d.conn
 	}
 	p.mu.Unlock()
 	close(d.done)
 }
 
-// keepAlive checks every connection for silence until stop closes; the next
+// KeepAlive checks every connection for silence until stop closes; the next
 // call to a peer whose connection was closed dials a fresh one.
-func (p *peers) keepAlive(stop <-chan struct{}) {
-	t := time.NewTicker(wire.CheckEvery)
+func (p *Pool) KeepAlive(stop <-chan struct{}) {
+	t := time.NewTicker(CheckEvery)
 	defer t.Stop()
 	for {
 		select {
@@ -113,18 +130,18 @@
 		}
 		for addr, c := range p.open() {
 			c.Check()
-			if errors.Is(c.Err(), wire.ErrSilent) {
-				p.log.WithField("peer", addr).Warn("peer_connection_silent")
+			if errors.Is(c.Err(), ErrSilent) {
+				p.cfg.Log.WithField("peer", addr).Warn("peer_connection_silent")
 			}
 		}
 	}
 }
 
 // open returns the open connections by peer address, and forgets the others.
-func (p *peers) open() map[string]*wire.Conn {
+func (p *Pool) open() map[string]*Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := make(map[string]*wire.Conn, len(p.conns))
+	conns := make(map[string]*Conn, len(p.conns))
 	for addr, c := range p.conns {
 		if c.Err() != nil {
 			delete(p.conns, addr)
@@ -135,7 +152,8 @@
 	return conns
 }
 
-func (p *peers) closeAll() {
+// CloseAll closes every connection; later dials close theirs too.
+func (p *Pool) CloseAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
