--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,212 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/directory"
+)
+
+const (
+	// farCost is what an instance in another data centre costs, in parts of
+	// its slots in use: bytes between data centres are dear, so the near one
+	// is filled first, but not to the brim, where requests begin to wait.
+	farCost = 0.45
+	// failCost is what an instance costs whose answers all fail. Half of its
+	// requests failing outweighs a free neighbour elsewhere.
+	failCost = 3.0
+	// slowCost is what an instance costs per time that it is slower than the
+	// fastest one; slowMost bounds it. Instances of a service differ by two
+	// to three times in health, and one that turned slow by five or more.
+	slowCost = 0.12
+	slowMost = 1.2
+	// jitter spreads the choices of nodes that know the same.
+	jitter = 0.08
+	// smoothing is the weight of the newest outcome in an instance's means.
+	smoothing = 1.0 / 16
+	// forget is the time after which an instance's failures count half: it
+	// then gets requests again that show whether it has mended.
+	forget = 2 * time.Second
+	// coldFactor is how much fuller a cold instance counts: it takes twice
+	// as long for the same work.
+	coldFactor = 2.0
+	// unreachablePause keeps requests from an instance whose node could not
+	// be reached; the next one after it shows whether it is back.
+	unreachablePause = time.Second
+	// leavingPause is the same for one that said it is leaving, and ends
+	// because its node may only be restarted.
+	leavingPause = 3 * time.Second
+)
+
+type (
+	// Balancer keeps what is known of each instance's behaviour. It is safe
+	// for concurrent use.
+	Balancer struct {
+		dc callgraph.DC
+
+		mu     sync.Mutex
+		states map[directory.InstanceID]*state
+	}
+
+	// Outcome is how one request to an instance ended.
+	Outcome struct {
+		Took        time.Duration // from sending to the answer; 0 if it says nothing of speed
+		Failed      bool          // the instance ran it and failed, or nothing came back
+		Refused     bool          // the instance itself refused to run it
+		Unreachable bool          // its node could not be reached
+		Leaving     bool          // its node or the instance takes no new requests
+		Load        *call.Load    // as its node told with the answer; may be nil
+	}
+
+	state struct {
+		outstanding int
+		load        call.Load
+		loadAt      int // outstanding when load was told
+		took        time.Duration
+		failing     float64 // 0 to 1
+		failedAt    time.Time
+		avoidUntil  time.Time
+	}
+)
+
+// New returns a Balancer for a node in a data centre.
+func New(dc callgraph.DC) *Balancer {
+	return &Balancer{dc: dc, states: map[directory.InstanceID]*state{}}
+}
+
+// Pick chooses among the instances of a service, but for those in tried, and
+// counts the request as outstanding there until Done. ok is false when none
+// is left.
+func (b *Balancer) Pick(instances []directory.Instance, tried []directory.InstanceID) (in directory.Instance, ok bool) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fastest := b.fastest(instances)
+	best, avoided := -1, -1
+	var bestCost, avoidedCost float64
+	for i := range instances {
+		if instances[i].Leaving || contains(tried, instances[i].ID) {
+			continue
+		}
+		s := b.state(instances[i].ID)
+		cost := b.cost(&instances[i], s, fastest, now)
+		if now.Before(s.avoidUntil) {
+			if avoided < 0 || cost < avoidedCost {
+				avoided, avoidedCost = i, cost
+			}
+			continue
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		best = avoided
+	}
+	if best < 0 {
+		return directory.Instance{}, false
+	}
+	b.state(instances[best].ID).outstanding++
+	return instances[best], true
+}
+
+// Done notes how a request to an instance ended.
+func (b *Balancer) Done(id directory.InstanceID, o Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(id)
+	s.outstanding--
+	now := time.Now()
+	switch {
+	case o.Unreachable:
+		s.avoidUntil = now.Add(unreachablePause)
+		return
+	case o.Leaving:
+		s.avoidUntil = now.Add(leavingPause)
+	case !o.Failed && !o.Refused:
+		s.avoidUntil = time.Time{}
+	}
+	if o.Load != nil {
+		s.load, s.loadAt = *o.Load, s.outstanding
+	}
+	bad := 0.0
+	if o.Failed || o.Refused {
+		bad = 1
+		s.failedAt = now
+	}
+	s.failing += (bad - s.failing) * smoothing
+	if o.Took > 0 {
+		if s.took == 0 {
+			s.took = o.Took
+		}
+		s.took += time.Duration(float64(o.Took-s.took) * smoothing)
+	}
+}
+
+// Keep forgets the instances that a view no longer lists.
+func (b *Balancer) Keep(v *directory.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.states {
+		if _, ok := v.Find(id); !ok && s.outstanding == 0 {
+			delete(b.states, id)
+		}
+	}
+}
+
+func (b *Balancer) state(id directory.InstanceID) *state {
+	s := b.states[id]
+	if s == nil {
+		s = &state{}
+		b.states[id] = s
+	}
+	return s
+}
+
+// fastest returns the shortest mean time of the instances that have one.
+func (b *Balancer) fastest(instances []directory.Instance) time.Duration {
+	var t time.Duration
+	for i := range instances {
+		if s := b.states[instances[i].ID]; s != nil && s.took > 0 && (t == 0 || s.took < t) {
+			t = s.took
+		}
+	}
+	return t
+}
+
+// cost is how much is against an instance, mostly the part of its slots that
+// is in use; less is better.
+func (b *Balancer) cost(in *directory.Instance, s *state, fastest time.Duration, now time.Time) float64 {
+	limit := s.load.Limit
+	if limit == 0 {
+		limit = max(in.Slots, 1)
+	}
+	used := max(s.load.Busy+s.load.Queued+s.outstanding-s.loadAt, s.outstanding)
+	c := float64(used) / float64(limit)
+	if now.Before(in.ColdTill) {
+		c *= coldFactor
+	}
+	if in.DC != b.dc {
+		c += farCost
+	}
+	if s.failing > 0 {
+		age := float64(now.Sub(s.failedAt)) / float64(forget)
+		c += failCost * s.failing / (1 + age)
+	}
+	if fastest > 0 && s.took > fastest {
+		c += min(slowMost, slowCost*(float64(s.took)/float64(fastest)-1))
+	}
+	return c + jitter*rand.Float64()
+}
+
+func contains(ids []directory.InstanceID, id directory.InstanceID) bool {
+	for _, o := range ids {
+		if o == id {
+			return true
+		}
+	}
+	return false
+}
--- a/call/call.go
+++ b/call/call.go
@@ -46,6 +46,9 @@
 	Budget    int           `msgpack:"budget"`           // retries the whole request may still spend
 	Passed    []string      `msgpack:"passed,omitempty"` // instances that declined this key
 	Body      []byte        `msgpack:"body,omitempty"`
+	// HTTP is set for a request that goes by a route of host and path; it
+	// has no Operation.
+	HTTP *HTTPRequest `msgpack:"http,omitempty"`
 }
 
 // Answer is what comes back for a Request.
@@ -58,6 +61,9 @@
 	Leaving     bool          `msgpack:"leaving,omitempty"`
 	Declined    bool          `msgpack:"declined,omitempty"` // this instance has not run the key and never will
 	Body        []byte        `msgpack:"body,omitempty"`
+	HTTP        *HTTPAnswer   `msgpack:"http,omitempty"`    // what the target answered to a request with HTTP
+	Reached     bool          `msgpack:"reached,omitempty"` // the request was handed to a target
+	Load        *Load         `msgpack:"load,omitempty"`
 }
 
 // Refuse returns a NotRun answer for r that tells the caller when to come back.
--- /dev/null
+++ b/call/http.go
@@ -0,0 +1,60 @@
+package call
+
+import (
+	"time"
+)
+
+type (
+	// Headers names the headers by which callers and targets exchange a
+	// request's metadata, for targets that do not speak oatpin's own.
+	Headers struct {
+		RequestID        string
+		Deadline         string // milliseconds the caller will still wait
+		Signature        string // on each answer that a target made
+		ExpectedInstance string // any other instance refuses the request unrun
+		NotExecuted      string // on an answer to a request that the target did not run
+		CallerService    string // service of the VM at which the request began
+		InstanceID       string
+	}
+
+	// Field is one header line.
+	Field struct {
+		_msgpack struct{} `msgpack:",as_array"`
+		Name     string
+		Value    string
+	}
+
+	// Rank orders requests under overload: of two, the one with the smaller
+	// rank is served first and refused last.
+	Rank uint8
+
+	// HTTPRequest is a caller's request as it came, for a target that is to
+	// get it unchanged.
+	HTTPRequest struct {
+		_msgpack   struct{} `msgpack:",as_array"`
+		Method     string
+		Host       string
+		URI        string // path and query as sent
+		Header     []Field
+		Caller     string // service of the VM at which the request began
+		Rank       Rank
+		Begun      bool // made by a request that already runs
+		Idempotent bool
+	}
+
+	// HTTPAnswer is what a target answered.
+	HTTPAnswer struct {
+		_msgpack struct{} `msgpack:",as_array"`
+		Code     int
+		Header   []Field
+	}
+
+	// Load is how busy a target is, as its node sees it.
+	Load struct {
+		_msgpack struct{}      `msgpack:",as_array"`
+		Busy     int           // requests the target works on
+		Queued   int           // requests that wait for it at its node
+		Limit    int           // requests it may work on at once
+		Wait     time.Duration // how long the last admitted request waited
+	}
+)
--- a/cmd/oatpin/main.go
+++ b/cmd/oatpin/main.go
@@ -18,6 +18,7 @@
 			demoCommand,
 			checkCommand,
 			nodeCommand,
+			sidecarCommand,
 			targetCommand,
 			platformCommand,
 			loadCommand,
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,244 @@
+package directory
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+)
+
+const (
+	// outageLapse is how long the source must have been away for an entry
+	// missing afterwards to be in doubt: instances whose writes did not reach
+	// it were dropped meanwhile.
+	outageLapse = 1500 * time.Millisecond
+	// returnGrace is how long such an entry is still believed after the
+	// source is back. Live instances are back in the list within about two
+	// seconds; half a second covers the way here.
+	returnGrace = 2500 * time.Millisecond
+)
+
+type (
+	// Change is one change of what a source lists; exactly one of its
+	// fields is set.
+	Change struct {
+		Instance *Instance
+		Gone     InstanceID
+		GoneAt   Revision // of Gone
+		Routes   *Routes
+	}
+
+	// Snapshot is everything a source listed at a revision.
+	Snapshot struct {
+		Revision  Revision
+		Routes    *Routes
+		Instances []Instance
+	}
+
+	// Directory keeps the newest knowledge of one deployment. It is safe for
+	// concurrent use.
+	Directory struct {
+		log  log.Interface
+		view atomic.Pointer[View]
+
+		mu        sync.Mutex // guards the fields below
+		routes    *Routes
+		instances map[InstanceID]Instance
+		doubtful  map[InstanceID]time.Time // listed no more, believed until
+		awaySince time.Time                // zero while the source answers
+		graceEnds time.Time                // after an outage
+		listed    bool                     // a snapshot was applied
+		onChange  []func(*View)
+	}
+)
+
+// New returns a Directory that knows nothing yet.
+func New(l log.Interface) *Directory {
+	d := &Directory{log: l, instances: map[InstanceID]Instance{}, doubtful: map[InstanceID]time.Time{}}
+	d.view.Store(newView(nil, nil))
+	return d
+}
+
+// View returns what is known now.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Listed reports whether a whole list of instances was ever read.
+func (d *Directory) Listed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed
+}
+
+// OnChange calls f with every new view, one at a time; f must be quick.
+func (d *Directory) OnChange(f func(*View)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.onChange = append(d.onChange, f)
+}
+
+// Replace takes over a snapshot: what it lacks is gone, or in doubt after an
+// outage of the source.
+func (d *Directory) Replace(s Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.adopt(s.Routes)
+	there := map[InstanceID]bool{}
+	for _, in := range s.Instances {
+		there[in.ID] = true
+		d.put(in)
+	}
+	for id, in := range d.instances {
+		if !there[id] && in.Revision <= s.Revision {
+			d.remove(id, s.Revision)
+		}
+	}
+	d.listed = true
+	d.publish()
+}
+
+// Merge takes over what another node knows, without removing anything: its
+// list may be older than this one's in any entry.
+func (d *Directory) Merge(s Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.adopt(s.Routes)
+	for _, in := range s.Instances {
+		d.put(in)
+	}
+	d.listed = d.listed || len(s.Instances) > 0
+	d.publish()
+}
+
+// Apply takes over changes in their order.
+func (d *Directory) Apply(changes []Change) {
+	if len(changes) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range changes {
+		switch {
+		case c.Routes != nil:
+			d.adopt(c.Routes)
+		case c.Instance != nil:
+			d.put(*c.Instance)
+		case c.Gone != "":
+			d.remove(c.Gone, c.GoneAt)
+		}
+	}
+	d.publish()
+}
+
+// adopt puts routes in force if they are newer than those held: a node that
+// wakes late or reads an old copy must not fall back.
+func (d *Directory) adopt(r *Routes) {
+	if r == nil || (d.routes != nil && r.Version <= d.routes.Version) {
+		return
+	}
+	d.routes = r
+	d.log.WithField("version", r.Version).Info("routes_in_force")
+}
+
+func (d *Directory) put(in Instance) {
+	old, known := d.instances[in.ID]
+	if known && old.Revision > in.Revision {
+		return
+	}
+	delete(d.doubtful, in.ID)
+	d.instances[in.ID] = in
+	if !known || old.Leaving != in.Leaving {
+		d.log.WithFields(log.Fields{"instance": in.ID, "service": in.Service, "leaving": in.Leaving, "revision": in.Revision}).Info("instance_listed")
+	}
+}
+
+func (d *Directory) remove(id InstanceID, at Revision) {
+	in, ok := d.instances[id]
+	if !ok || in.Revision > at {
+		return
+	}
+	if time.Now().Before(d.graceEnds) {
+		if _, already := d.doubtful[id]; !already {
+			d.doubtful[id] = d.graceEnds
+			d.log.WithFields(log.Fields{"instance": id, "believed_until": d.graceEnds}).Info("instance_doubtful")
+		}
+		return
+	}
+	d.drop(id, "removed from the list")
+}
+
+func (d *Directory) drop(id InstanceID, why string) {
+	delete(d.instances, id)
+	delete(d.doubtful, id)
+	d.log.WithFields(log.Fields{"instance": id, "why": why}).Info("instance_gone")
+}
+
+// publish makes the state the current view.
+func (d *Directory) publish() {
+	v := newView(d.routes, d.instances)
+	d.view.Store(v)
+	for _, f := range d.onChange {
+		f(v)
+	}
+}
+
+// Away notes that the source did not answer, since a moment.
+func (d *Directory) Away(since time.Time, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.awaySince.IsZero() {
+		d.awaySince = since
+		d.log.WithError(err).Warn("source_lost")
+	}
+}
+
+// Back notes that the source answers. After an outage, entries that are
+// missing are believed for a while longer: instances that live come back to
+// the list by themselves, and dropping them all at once would refuse every
+// request.
+func (d *Directory) Back() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.awaySince.IsZero() {
+		return
+	}
+	away := time.Since(d.awaySince)
+	d.awaySince = time.Time{}
+	if away >= outageLapse {
+		d.graceEnds = time.Now().Add(returnGrace)
+	}
+	d.log.WithField("away_ms", away.Milliseconds()).Info("source_regained")
+}
+
+// Settle drops the doubtful instances whose time is up; call it now and then.
+func (d *Directory) Settle() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, dropped := time.Now(), false
+	for id, until := range d.doubtful {
+		if !now.Before(until) {
+			d.drop(id, "not listed again after an outage")
+			dropped = true
+		}
+	}
+	if dropped {
+		d.publish()
+	}
+}
+
+// Snapshot returns everything known, for another node that knows less.
+func (d *Directory) Snapshot() Snapshot {
+	v := d.View()
+	s := Snapshot{Routes: v.Routes}
+	for _, in := range v.All() {
+		s.Instances = append(s.Instances, in)
+	}
+	return s
+}
+
+// SourceAway reports whether the source did not answer when last asked.
+func (d *Directory) SourceAway() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.awaySince.IsZero()
+}
--- /dev/null
+++ b/directory/routes.go
@@ -0,0 +1,143 @@
+package directory
+
+import (
+	"errors"
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/rotisserie/eris"
+)
+
+// ErrNoRoute is returned for a host and path that no route in force matches.
+var ErrNoRoute = eris.New("no route for this host and path")
+
+// ErrInvalidRoutes is wrapped by every error about routes that do not hold
+// together.
+var ErrInvalidRoutes = eris.New("invalid routes")
+
+type (
+	// Share is one service that a route's requests go to, and its weight
+	// against the route's other shares.
+	Share struct {
+		Service string
+		Weight  int
+	}
+
+	// Route says where the requests under one path prefix of a host go.
+	Route struct {
+		Name       string
+		Host       string
+		Prefix     string // begins and ends with a slash
+		Shares     []Share
+		Idempotent bool
+		// Timeout is the longest time a caller is kept waiting; zero for
+		// as long as the caller says.
+		Timeout       time.Duration
+		TargetLatency time.Duration // an answer later than this is worth less
+		MaxInstances  int           // how many instances one request may be sent to
+		Priority      int           // 0 is refused last
+	}
+
+	// Limits bound what a caller may send and how long it may take.
+	Limits struct {
+		HeaderBytes   int
+		BodyBytes     int64
+		HeaderTimeout time.Duration
+		IdleTimeout   time.Duration
+	}
+
+	// Routes is one version of the routes of a deployment.
+	Routes struct {
+		Version callgraph.Version
+		Limits  Limits
+		hosts   map[string][]Route // longest prefix first
+	}
+)
+
+// NewRoutes checks a set of routes whole and returns it ready for matching;
+// the error wraps ErrInvalidRoutes and names every problem.
+func NewRoutes(v callgraph.Version, limits Limits, all []Route) (*Routes, error) {
+	r := &Routes{Version: v, Limits: limits, hosts: map[string][]Route{}}
+	var problems []error
+	for _, rt := range all {
+		problems = append(problems, rt.problems()...)
+		h := strings.ToLower(rt.Host)
+		r.hosts[h] = append(r.hosts[h], rt)
+	}
+	if len(problems) > 0 {
+		return nil, eris.Wrap(ErrInvalidRoutes, errors.Join(problems...).Error())
+	}
+	for _, rts := range r.hosts {
+		sort.SliceStable(rts, func(i, j int) bool { return len(rts[i].Prefix) > len(rts[j].Prefix) })
+	}
+	return r, nil
+}
+
+func (rt *Route) problems() []error {
+	var ps []error
+	bad := func(what string) { ps = append(ps, eris.Errorf("route %s: %s", rt.Name, what)) }
+	if rt.Host == "" {
+		bad("no host")
+	}
+	if !strings.HasPrefix(rt.Prefix, "/") || !strings.HasSuffix(rt.Prefix, "/") {
+		bad("prefix must begin and end with a slash")
+	}
+	if rt.MaxInstances < 1 {
+		bad("must allow one instance at least")
+	}
+	if rt.Timeout < 0 || rt.TargetLatency < 0 {
+		bad("negative time")
+	}
+	total := 0
+	for _, s := range rt.Shares {
+		if s.Service == "" || s.Weight < 0 {
+			bad("a share without service or with a negative weight")
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		bad("no service gets any of its requests")
+	}
+	return ps
+}
+
+// Match returns the route with the longest prefix that begins path, among
+// those of host; the error is ErrNoRoute.
+func (r *Routes) Match(host, path string) (*Route, error) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	rts, ok := r.hosts[host]
+	if !ok {
+		rts = r.hosts[strings.ToLower(host)]
+	}
+	for i := range rts {
+		if strings.HasPrefix(path, rts[i].Prefix) {
+			return &rts[i], nil
+		}
+	}
+	return nil, ErrNoRoute
+}
+
+// Service returns the service that gets the request with this draw, a number
+// in [0,1): shares get their weight's part of evenly spread draws.
+func (rt *Route) Service(draw float64) string {
+	if len(rt.Shares) == 1 {
+		return rt.Shares[0].Service
+	}
+	total := 0
+	for _, s := range rt.Shares {
+		total += s.Weight
+	}
+	at := draw * float64(total)
+	for _, s := range rt.Shares {
+		if at < float64(s.Weight) {
+			return s.Service
+		}
+		at -= float64(s.Weight)
+	}
+	return rt.Shares[len(rt.Shares)-1].Service
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -115,6 +115,14 @@
 		for _, seed := range s.Seeds {
 			need("seed", seed, hostPort)
 		}
+	case *Sidecar:
+		need("name", s.Name, nonEmpty)
+		need("dc", string(s.DC), nonEmpty)
+		need("service", s.Service, nonEmpty)
+		for _, a := range []struct{ name, addr string }{{"target", s.Target}, {"callers", s.Callers}, {"peer", s.Peer},
+			{"ready", s.Ready}, {"metrics", s.Metrics}, {"store", s.Store}} {
+			need(a.name, a.addr, hostPort)
+		}
 	case *Target:
 		need("service", s.Service, nonEmpty)
 		need("http", s.HTTP, hostPort)
--- /dev/null
+++ b/sidecar/caller.go
@@ -0,0 +1,227 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/directory"
+)
+
+const (
+	// deadlineDefault is taken for a request that says neither how long its
+	// caller waits nor has a route with a timeout.
+	deadlineDefault = 30 * time.Second
+	// comeBackNoRoutes is when to come back to a node that knows no routes
+	// yet: it has them within some hundred milliseconds of its start.
+	comeBackNoRoutes = 500 * time.Millisecond
+	// comeBackLeaving is when to come back to a node that is stopping; the
+	// caller's next request goes to another one by then.
+	comeBackLeaving = time.Second
+	// bodyDefault bounds one body until an operator's limit is known.
+	bodyDefault = 1 << 20
+)
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// request is a caller's request on its way.
+type request struct {
+	call.Request
+	route    *directory.Route
+	deadline time.Time
+	entered  time.Time
+}
+
+// serveCaller answers one request of a caller on this VM, or of the local
+// target.
+func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
+	n.active.Add(1)
+	defer n.active.Add(-1)
+	if _, leaving := n.leavingSince(); leaving {
+		w.Header().Set("Connection", "close")
+	}
+	q, refusal := n.accept(w, r)
+	if refusal != nil {
+		n.refuse(w, r, refusal)
+		return
+	}
+	defer n.bodies.Add(-int64(len(q.Body)))
+	ctx := r.Context()
+	if !q.route.Idempotent {
+		// Whether an action whose caller left has run would be for nobody
+		// to know: it goes on to its end.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	defer cancel()
+	a := n.forward(ctx, r.Context(), q)
+	n.stats.answered(q.route.Name, a.Status)
+	n.write(w, q, a)
+}
+
+// accept reads and checks a request; a refusal has run nothing.
+func (n *Node) accept(w http.ResponseWriter, r *http.Request) (*request, *refusal) {
+	entered := time.Now()
+	routes := n.dir.View().Routes
+	if routes == nil {
+		return nil, &refusal{code: http.StatusServiceUnavailable, after: comeBackNoRoutes, why: "no routes known yet"}
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	rt, err := routes.Match(r.Host, path)
+	if err != nil {
+		return nil, n.noRoute()
+	}
+	if r.Header.Get(n.cfg.Headers.RequestID) == "" {
+		return nil, &refusal{code: http.StatusBadRequest, why: n.cfg.Headers.RequestID + " is missing"}
+	}
+	left, err := n.timeLeft(r, rt)
+	if err != nil {
+		return nil, &refusal{code: http.StatusBadRequest, why: err.Error()}
+	}
+	if since, ok := n.leavingSince(); ok && since > refuseAfter && !n.fromTarget(r) {
+		return nil, &refusal{code: http.StatusServiceUnavailable, after: comeBackLeaving, why: "node is leaving"}
+	}
+	body, no := n.readBody(w, r, routes.Limits.BodyBytes)
+	if no != nil {
+		return nil, no
+	}
+	q := &request{route: rt, entered: entered, deadline: entered.Add(left)}
+	q.ID = call.RequestID(r.Header.Get(n.cfg.Headers.RequestID))
+	q.Service = rt.Service(n.draw())
+	q.Body = body
+	q.HTTP = &call.HTTPRequest{Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: n.fields(r.Header),
+		Caller: n.cfg.Service, Rank: rank(rt.Priority), Begun: n.fromTarget(r), Idempotent: rt.Idempotent}
+	return q, nil
+}
+
+// noRoute refuses a request that no route matches. While the source of the
+// routes is away a newer version may have the route, so that is no final
+// answer.
+func (n *Node) noRoute() *refusal {
+	if n.dir.SourceAway() {
+		return &refusal{code: http.StatusServiceUnavailable, after: comeBackNoRoutes, why: "no route in a version that may be old"}
+	}
+	return &refusal{code: http.StatusNotFound, why: directory.ErrNoRoute.Error()}
+}
+
+// timeLeft returns how long the request may take: as long as its caller
+// waits, within the route's timeout.
+func (n *Node) timeLeft(r *http.Request, rt *directory.Route) (time.Duration, error) {
+	left := deadlineDefault
+	if rt.Timeout > 0 {
+		left = rt.Timeout
+	}
+	v := r.Header.Get(n.cfg.Headers.Deadline)
+	if v == "" {
+		return left, nil
+	}
+	ms, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || ms < 0 {
+		return 0, errors.New(n.cfg.Headers.Deadline + " is not a number of milliseconds: " + strconv.Quote(v))
+	}
+	return min(left, time.Duration(ms)*time.Millisecond), nil
+}
+
+// readBody reads a whole body within the operator's limit and the memory
+// for all bodies.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
+	if r.ContentLength == 0 || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if limit <= 0 {
+		limit = bodyDefault
+	}
+	if n.cfg.BodyBytes > 0 && n.bodies.Load()+max(r.ContentLength, 0) > n.cfg.BodyBytes {
+		return nil, &refusal{code: http.StatusServiceUnavailable, after: comeBackLeaving, why: "no memory for the body"}
+	}
+	var buf bytes.Buffer
+	_, err := io.Copy(&buf, http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &refusal{code: http.StatusRequestEntityTooLarge, why: err.Error()}
+	case err != nil:
+		return nil, &refusal{code: http.StatusBadRequest, why: "body: " + err.Error()}
+	}
+	n.bodies.Add(int64(buf.Len()))
+	return buf.Bytes(), nil
+}
+
+// fields returns the headers that go on to the target; those that a node
+// sets itself are left out.
+func (n *Node) fields(h http.Header) []call.Field {
+	drop := map[string]bool{n.cfg.Headers.Deadline: true, n.cfg.Headers.ExpectedInstance: true,
+		n.cfg.Headers.CallerService: true, "Content-Length": true, "Host": true, "Expect": true}
+	return endToEnd(h, drop)
+}
+
+// endToEnd returns the headers of h that do not concern one connection only.
+func endToEnd(h http.Header, drop map[string]bool) []call.Field {
+	named := h["Connection"]
+	fs := make([]call.Field, 0, len(h))
+	for name, values := range h {
+		if drop[name] || isHopByHop(name, named) {
+			continue
+		}
+		for _, v := range values {
+			fs = append(fs, call.Field{Name: name, Value: v})
+		}
+	}
+	return fs
+}
+
+func isHopByHop(name string, connection []string) bool {
+	for _, h := range hopByHop {
+		if name == h {
+			return true
+		}
+	}
+	for _, line := range connection {
+		for _, token := range strings.Split(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(token), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// fromTarget reports whether the local target sent the request: it calls
+// from its own address, callers from others.
+func (n *Node) fromTarget(r *http.Request) bool {
+	return sameHost(r.RemoteAddr, n.cfg.Target)
+}
+
+// draw returns evenly spread numbers in [0,1) for split routes: multiples of
+// the golden ratio, which keep every share near its weight over short times.
+func (n *Node) draw() float64 {
+	const golden = 0.6180339887498949
+	x := float64(n.draws.Add(1)) * golden
+	return x - float64(int64(x))
+}
+
+func rank(priority int) call.Rank { return call.Rank(max(0, min(priority, 255))) }
+
+// refusal is an answer of the node's own to a request that has run nowhere.
+type refusal struct {
+	code  int
+	after time.Duration // when to come back; 0 for no use in it
+	why   string
+}
+
+func (n *Node) refuse(w http.ResponseWriter, r *http.Request, f *refusal) {
+	id := r.Header.Get(n.cfg.Headers.RequestID)
+	n.note.Note("request_refused", func() log.Fields {
+		return log.Fields{"id": id, "code": f.code, "why": f.why, "come_back_ms": f.after.Milliseconds(), "routes": n.version(), "path": r.URL.Path}
+	})
+	writeOwn(w, n.cfg.Headers, call.RequestID(id), f.code, f.after, f.why)
+}
--- /dev/null
+++ b/sidecar/forward.go
@@ -0,0 +1,154 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/oatpin/oatpin/balance"
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/wire"
+)
+
+const (
+	// maxPicks bounds how many nodes are asked for one request; asking one
+	// that refuses costs a few milliseconds and runs nothing.
+	maxPicks = 4
+	// comeBackBusy is when to come back after every instance asked was full
+	// and none said for how long.
+	comeBackBusy = 400 * time.Millisecond
+	// comeBackNone is when to come back to a service without instances.
+	comeBackNone = time.Second
+	// leastTime is what must be left for another try to be worth sending.
+	leastTime = 20 * time.Millisecond
+)
+
+// tries is what became of the tries of one request so far.
+type tries struct {
+	asked   []directory.InstanceID
+	reached int  // instances that were handed the request, or may have been
+	ran     bool // some try was not refused
+}
+
+// forward sends a request to instances of its service until one gives a
+// final answer. ctx ends at the request's deadline; left ends when the
+// caller has gone.
+func (n *Node) forward(ctx, left context.Context, q *request) call.Answer {
+	n.window(q.Service).First()
+	var t tries
+	last := call.Refuse(q.Request, "no instance of "+q.Service, comeBackNone)
+	for range maxPicks {
+		in, ok := n.balancer.Pick(n.dir.View().Instances(q.Service), t.asked)
+		if !ok {
+			break
+		}
+		t.asked = append(t.asked, in.ID)
+		last = n.try(ctx, q, in, &t)
+		if !n.again(ctx, left, q, last, &t) {
+			break
+		}
+	}
+	if t.ran && last.Status == call.NotRun {
+		// A later try was refused, but an earlier one may have run.
+		last = call.Answer{ID: q.ID, Status: call.Unknown, Reason: "an earlier try may have run; the last was refused: " + last.Reason}
+	}
+	if last.Status == call.NotRun && last.RetryAfter == 0 {
+		last.RetryAfter = comeBackBusy
+	}
+	return last
+}
+
+// try sends the request to one instance and notes how that went.
+func (n *Node) try(ctx context.Context, q *request, in directory.Instance, t *tries) call.Answer {
+	sent := time.Now()
+	a, reachable := n.send(ctx, q, in)
+	o := balance.Outcome{Unreachable: !reachable, Leaving: a.Leaving, Load: a.Load}
+	switch {
+	case !reachable:
+	case a.Status == call.NotRun:
+		o.Refused = a.Reached
+		if a.Reached {
+			t.reached++
+		}
+	default:
+		t.reached++
+		t.ran = true
+		o.Failed = a.Status == call.Unknown || (a.HTTP != nil && a.HTTP.Code >= 500)
+		if a.Status == call.OK {
+			o.Took = time.Since(sent)
+		}
+	}
+	if ctx.Err() != nil && a.HTTP == nil {
+		o.Failed = false // its caller left or its time was up, which is not the instance's fault alone
+	}
+	n.balancer.Done(in.ID, o)
+	if a.Status != call.OK {
+		n.note.Note("try_ended", func() log.Fields {
+			f := log.Fields{"id": q.ID, "route": q.route.Name, "service": q.Service, "instance": in.ID, "dc": in.DC, "revision": in.Revision,
+				"status": a.Status, "why": a.Reason, "reached": a.Reached, "took_ms": time.Since(sent).Milliseconds(), "try": len(t.asked)}
+			if a.HTTP != nil {
+				f["code"] = a.HTTP.Code
+			}
+			return f
+		})
+	}
+	return a
+}
+
+// send hands the request to the node beside an instance; reachable is false
+// if that could not be done, and then nothing of it ran.
+func (n *Node) send(ctx context.Context, q *request, in directory.Instance) (a call.Answer, reachable bool) {
+	r := q.Request
+	r.To = string(in.ID)
+	r.Remaining = time.Until(q.deadline)
+	if in.Addr == n.cfg.Target {
+		return n.serve(ctx, r), true
+	}
+	host, _, err := net.SplitHostPort(in.Addr)
+	if err != nil {
+		return call.Refuse(r, "instance address "+in.Addr, 0), false
+	}
+	peer := wire.Peer{Name: string(in.ID), Addr: net.JoinHostPort(host, n.peerPort)}
+	// A connection can close between Get and Call, before anything is
+	// written; the second Get dials anew.
+	for range 2 {
+		conn, err := n.peers.Get(ctx, peer)
+		if err != nil {
+			return call.Refuse(r, "node unreachable: "+err.Error(), 0), false
+		}
+		r.Sent = time.Now()
+		a, err := conn.Call(ctx, r, n.version())
+		if err == nil {
+			return a, true
+		}
+	}
+	return call.Refuse(r, "node unreachable: connections close", 0), false
+}
+
+// again reports whether the request is to be sent to another instance after
+// an answer, and counts it against the bound on repeats if an instance was
+// handed the request before.
+func (n *Node) again(ctx, left context.Context, q *request, a call.Answer, t *tries) bool {
+	if ctx.Err() != nil || left.Err() != nil || time.Until(q.deadline) < leastTime {
+		return false
+	}
+	switch a.Status {
+	case call.OK:
+		return false
+	case call.NotRun:
+		if !a.Reached {
+			return true
+		}
+	default:
+		if !q.route.Idempotent || (a.HTTP != nil && a.HTTP.Code < 500) {
+			return false
+		}
+	}
+	if t.reached >= q.route.MaxInstances || !n.window(q.Service).Repeat() {
+		return false
+	}
+	n.stats.repeated(q.Service)
+	return true
+}
--- /dev/null
+++ b/sidecar/node.go
@@ -0,0 +1,222 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/oatpin/oatpin/balance"
+	"github.com/oatpin/oatpin/budget"
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/slots"
+	"github.com/oatpin/oatpin/targetconn"
+	"github.com/oatpin/oatpin/timeline"
+	"github.com/oatpin/oatpin/wire"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// usableSlots is the part of a target's slots that are used: some
+	// targets slow down by a third above 19 of 20 slots, and a probe or a
+	// new connection takes one now and then.
+	usableSlots = 0.94
+	// firstSlots is taken for a target that is not listed yet.
+	firstSlots = 16
+	// headerWait bounds how long a caller may take for its header.
+	headerWait = 5 * time.Second
+	// idleWait is how long a caller's idle connection is kept; longer than
+	// any limit an operator sets, so that callers who reuse connections
+	// within theirs never meet our close.
+	idleWait = time.Minute
+	// headerBytes bounds a caller's header.
+	headerBytes = 64 << 10
+)
+
+type (
+	// Config is what a Node is built from.
+	Config struct {
+		Name    string // of this node, in its log lines and to its peers
+		DC      callgraph.DC
+		Service string // the service of the local target
+		Target  string // host:port of the local target
+		Callers string // host:port for callers on this VM and the local target's own calls
+		Peer    string // host:port for other nodes; the port is the same on all VMs
+		Ready   string // host:port for readiness questions
+		Metrics string // host:port for metrics
+		Headers call.Headers
+		// BodyBytes bounds the bodies of all requests held at once.
+		BodyBytes int64
+		// Repeats bounds what is sent to a second instance.
+		Repeats budget.WindowConfig
+		// Grace is how long the process may go on after it is told to stop.
+		Grace     time.Duration
+		Directory *directory.Directory
+		Log       log.Interface
+	}
+
+	// Node is one running node.
+	Node struct {
+		cfg      Config
+		log      log.Interface
+		note     *timeline.Decisions
+		dir      *directory.Directory
+		balancer *balance.Balancer
+		gate     *slots.Gate
+		target   *targetconn.Pool
+		peers    *wire.Pool
+		peerPort string
+		stats    *stats
+		wire     wire.Server
+		callers  *http.Server
+		ready    *http.Server
+		metrics  *http.Server
+
+		draws   atomic.Uint64 // numbers the draws of split routes
+		bodies  atomic.Int64  // bytes of callers' bodies held
+		active  atomic.Int64  // callers' requests being answered
+		leaving atomic.Int64  // unix nanoseconds of the stop's begin, 0 before
+		self    atomic.Pointer[directory.Instance]
+
+		mu      sync.Mutex
+		windows map[string]*budget.Window // by service
+
+		stop chan struct{}
+	}
+)
+
+// New builds a Node; Serve starts it.
+func New(cfg Config) (*Node, error) {
+	_, port, err := net.SplitHostPort(cfg.Peer)
+	if err != nil {
+		return nil, eris.Wrapf(err, "peer address %s", cfg.Peer)
+	}
+	n := &Node{
+		cfg:      cfg,
+		log:      cfg.Log,
+		note:     timeline.NewDecisions(cfg.Log),
+		dir:      cfg.Directory,
+		balancer: balance.New(cfg.DC),
+		gate:     slots.NewGate(firstSlots),
+		target:   targetconn.NewPool(targetconn.Config{Addr: cfg.Target, Headers: cfg.Headers}),
+		peers:    wire.NewPool(wire.PoolConfig{From: cfg.Name, Log: cfg.Log}),
+		peerPort: port,
+		stats:    newStats(cfg.Name),
+		windows:  map[string]*budget.Window{},
+		stop:     make(chan struct{}),
+	}
+	n.wire = wire.Server{Handler: n.servePeer, Version: n.version}
+	n.callers = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes}
+	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerWait}
+	n.metrics = &http.Server{Handler: n.stats, ReadHeaderTimeout: headerWait}
+	n.dir.OnChange(n.learn)
+	return n, nil
+}
+
+// Serve listens on the configured addresses and runs until Shutdown.
+func (n *Node) Serve() error {
+	failed := make(chan error, 4)
+	listen := func(addr string, serve func(net.Listener) error) error {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			return eris.Wrapf(err, "listen %s", addr)
+		}
+		go func() { failed <- serve(l) }()
+		go func() { <-n.stop; l.Close() }()
+		return nil
+	}
+	for _, s := range []struct {
+		addr  string
+		serve func(net.Listener) error
+	}{{n.cfg.Peer, n.wire.Serve}, {n.cfg.Callers, n.callers.Serve}, {n.cfg.Ready, n.ready.Serve}, {n.cfg.Metrics, n.metrics.Serve}} {
+		if err := listen(s.addr, s.serve); err != nil {
+			return err
+		}
+	}
+	go n.peers.KeepAlive(n.stop)
+	n.log.WithFields(log.Fields{"callers": n.cfg.Callers, "peer": n.cfg.Peer, "service": n.cfg.Service}).Info("node_started")
+	err := <-failed
+	select {
+	case <-n.stop:
+		return nil
+	default:
+		return err
+	}
+}
+
+// learn takes over what changed about the local target.
+func (n *Node) learn(v *directory.View) {
+	n.balancer.Keep(v)
+	in, ok := v.At(n.cfg.Target)
+	if !ok {
+		n.self.Store(nil)
+		return
+	}
+	old := n.self.Swap(&in)
+	if old == nil || old.Slots != in.Slots {
+		n.gate.SetLimit(int(float64(in.Slots) * usableSlots))
+	}
+	if in.Leaving {
+		// What waits here has not run: other instances can have it now.
+		n.gate.Close()
+	} else {
+		n.gate.Open()
+	}
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if n.dir.View().Routes == nil || !n.dir.Listed() || n.leaving.Load() != 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (n *Node) version() uint64 {
+	if r := n.dir.View().Routes; r != nil {
+		return uint64(r.Version)
+	}
+	return 0
+}
+
+// window returns the bound on repeats to a service.
+func (n *Node) window(service string) *budget.Window {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	w := n.windows[service]
+	if w == nil {
+		w = budget.NewWindow(n.cfg.Repeats)
+		n.windows[service] = w
+	}
+	return w
+}
+
+// Shutdown stops the node gracefully, within its grace. It tells callers and
+// peers at once that it is leaving, goes on serving what still comes, and
+// ends when nothing is left to answer.
+func (n *Node) Shutdown(context.Context) {
+	began := time.Now()
+	n.leaving.Store(began.UnixNano())
+	n.log.Info("node_leaving")
+	last := began.Add(n.cfg.Grace * lastAnswerNum / lastAnswerDen)
+	t := time.NewTicker(idlePoll)
+	defer t.Stop()
+	for now := range t.C {
+		idle := n.active.Load() == 0 && n.wire.InFlight() == 0
+		if now.After(last) || (idle && now.Sub(began) > noticeTime) {
+			break
+		}
+	}
+	close(n.stop)
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	if err := n.callers.Shutdown(ctx); err != nil {
+		n.log.WithError(err).Warn("callers_cut")
+	}
+	n.wire.CloseConns()
+	n.peers.CloseAll()
+	n.log.WithField("took_ms", time.Since(began).Milliseconds()).Info("node_stopped")
+}
--- /dev/null
+++ b/sidecar/serve.go
@@ -0,0 +1,113 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/slots"
+	"github.com/oatpin/oatpin/targetconn"
+)
+
+// servePeer serves a request that came from another node.
+func (n *Node) servePeer(ctx context.Context, r call.Request) call.Answer {
+	if r.HTTP == nil {
+		return call.Refuse(r, "not a request by route", 0)
+	}
+	if !r.HTTP.Idempotent {
+		// The sender's connection may break; the action goes on to its end.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
+	defer cancel()
+	if _, leaving := n.leavingSince(); leaving {
+		a := call.Refuse(r, "node is leaving", 0)
+		a.Leaving = true
+		return a
+	}
+	return n.serve(ctx, r)
+}
+
+// serve lets a request through to the local target when its turn comes.
+func (n *Node) serve(ctx context.Context, r call.Request) call.Answer {
+	if self := n.self.Load(); self != nil && string(self.ID) != r.To {
+		// The sender's list is older than the reuse of this address.
+		a := call.Refuse(r, "another instance is here", 0)
+		a.Leaving = true
+		return a
+	}
+	deadline, _ := ctx.Deadline()
+	_, err := n.gate.Enter(ctx, slots.Ticket{Rank: r.HTTP.Rank, Begun: r.HTTP.Begun, Deadline: deadline})
+	if err != nil {
+		a := call.Refuse(r, "target: "+err.Error(), 0)
+		a.Leaving = errors.Is(err, slots.ErrLeaving)
+		return n.withLoad(a)
+	}
+	began := time.Now()
+	a := n.callTarget(ctx, r, deadline)
+	took := time.Since(began)
+	if a.Status != call.OK {
+		took = 0
+	}
+	n.gate.Leave(took)
+	return n.withLoad(a)
+}
+
+func (n *Node) withLoad(a call.Answer) call.Answer {
+	l := n.gate.Load()
+	a.Load = &l
+	return a
+}
+
+// callTarget hands a request to the local target.
+func (n *Node) callTarget(ctx context.Context, r call.Request, deadline time.Time) call.Answer {
+	left := time.Until(deadline).Milliseconds()
+	if left <= 0 {
+		return call.Refuse(r, "deadline passed", 0)
+	}
+	names := n.cfg.Headers
+	h := make(http.Header, len(r.HTTP.Header)+3)
+	for _, f := range r.HTTP.Header {
+		h[f.Name] = append(h[f.Name], f.Value)
+	}
+	h.Set(names.Deadline, strconv.FormatInt(left, 10))
+	h.Set(names.ExpectedInstance, r.To)
+	h.Set(names.CallerService, r.HTTP.Caller)
+	got, err := n.target.Do(ctx, &targetconn.Request{ID: r.ID, Method: r.HTTP.Method, Host: r.HTTP.Host, URI: r.HTTP.URI, Header: h, Body: r.Body})
+	switch {
+	case errors.Is(err, targetconn.ErrNotSent):
+		return call.Refuse(r, err.Error(), 0)
+	case err != nil:
+		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), Reached: true}
+	}
+	return n.judge(r, got)
+}
+
+// judge says what a target's answer means.
+func (n *Node) judge(r call.Request, got *targetconn.Answer) call.Answer {
+	names := n.cfg.Headers
+	a := call.Answer{ID: r.ID, Reached: true}
+	switch {
+	case got.Header.Get(names.NotExecuted) != "" || got.Code == http.StatusMisdirectedRequest:
+		a.Status = call.NotRun
+		a.Reason = "target refused: " + strconv.Itoa(got.Code)
+		a.Leaving = got.Code == http.StatusMisdirectedRequest
+		return a
+	case got.Header.Get(names.Signature) == "" || got.Header.Get("Content-Encoding") != "":
+		// Not the target's own answer, or not its body: it may have run.
+		a.Status = call.Unknown
+		a.Reason = "answer " + strconv.Itoa(got.Code) + " is not the target's own"
+		return a
+	case got.Code >= 200 && got.Code < 300:
+		a.Status = call.OK
+	default:
+		a.Status = call.Failed
+		a.Reason = "target answered " + strconv.Itoa(got.Code)
+	}
+	a.HTTP = &call.HTTPAnswer{Code: got.Code, Header: endToEnd(got.Header, map[string]bool{"Content-Length": true})}
+	a.Body = got.Body
+	return a
+}
--- /dev/null
+++ b/slots/gate.go
@@ -0,0 +1,202 @@
+package slots
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/oatpin/oatpin/call"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// maxRank is the lowest rank told apart; ranks beyond it queue with it.
+	maxRank = 7
+	// smoothing is the weight of the newest service time in the mean: some
+	// thirty requests, a fraction of a second at a busy target, so that a
+	// target that turns slow shows within a second.
+	smoothing = 1.0 / 32
+	// firstService is taken as the mean service time until one is measured:
+	// the middle of the services described to us (15 to 290 ms).
+	firstService = 50 * time.Millisecond
+)
+
+var (
+	// ErrTooLate is returned to a request that could not be done within its
+	// deadline.
+	ErrTooLate = eris.New("would not be done in time")
+	// ErrLeaving is returned when the target takes no new requests.
+	ErrLeaving = eris.New("target is leaving")
+)
+
+type (
+	// Ticket is what decides a request's place.
+	Ticket struct {
+		Rank     call.Rank
+		Begun    bool // a call of a request that already runs
+		Deadline time.Time
+	}
+
+	// Gate lets at most Limit requests at a time through to a target. A
+	// target that is handed more than its slots may never answer what it
+	// cannot queue; what waits here can still be refused as not run.
+	Gate struct {
+		mu      sync.Mutex
+		limit   int
+		busy    int
+		mean    time.Duration // service time
+		waiting Levels[*waiter]
+		lastIn  time.Duration // how long the last admitted request waited
+		closed  bool
+	}
+
+	waiter struct {
+		t     Ticket
+		since time.Time
+		ready chan error // of one: nil when admitted
+	}
+)
+
+// NewGate returns a Gate for a target that works on limit requests at once.
+func NewGate(limit int) *Gate {
+	return &Gate{limit: max(limit, 1), mean: firstService}
+}
+
+// SetLimit changes how many requests may be at the target.
+func (g *Gate) SetLimit(limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit = max(limit, 1)
+	g.admit()
+}
+
+// Enter waits until the request may go to the target, and returns how long
+// it waited. The error is ErrTooLate or ErrLeaving, or ctx's; after none,
+// Leave must be called.
+func (g *Gate) Enter(ctx context.Context, t Ticket) (time.Duration, error) {
+	g.mu.Lock()
+	if g.closed {
+		g.mu.Unlock()
+		return 0, ErrLeaving
+	}
+	if g.busy < g.limit && g.waiting.Len() == 0 {
+		g.busy++
+		g.lastIn = 0
+		g.mu.Unlock()
+		return 0, nil
+	}
+	now := time.Now()
+	if now.Add(g.expectedWait(t) + g.mean).After(t.Deadline) {
+		g.mu.Unlock()
+		return 0, ErrTooLate
+	}
+	w := &waiter{t: t, since: now, ready: make(chan error, 1)}
+	g.waiting.Push(level(t), w)
+	g.mu.Unlock()
+	return g.wait(ctx, w)
+}
+
+func (g *Gate) wait(ctx context.Context, w *waiter) (time.Duration, error) {
+	late := time.NewTimer(time.Until(w.t.Deadline))
+	defer late.Stop()
+	var err error
+	select {
+	case err = <-w.ready:
+		return time.Since(w.since), err
+	case <-ctx.Done():
+		err = ctx.Err()
+	case <-late.C:
+		err = ErrTooLate
+	}
+	if g.forget(w) {
+		return time.Since(w.since), err
+	}
+	// Admitted or refused in the same moment.
+	if got := <-w.ready; got == nil {
+		g.Leave(0)
+	}
+	return time.Since(w.since), err
+}
+
+// forget takes w out of the queue and reports whether it was still there.
+func (g *Gate) forget(w *waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	found := false
+	g.waiting.Remove(level(w.t), func(o *waiter) bool {
+		found = found || o == w
+		return o == w
+	})
+	return found
+}
+
+// Leave gives a place back; took is how long the target had the request, or
+// zero when that says nothing of its speed.
+func (g *Gate) Leave(took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.busy--
+	if took > 0 {
+		g.mean += time.Duration(float64(took-g.mean) * smoothing)
+	}
+	g.admit()
+}
+
+// Close refuses all that waits and whatever comes later.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	for w, ok := g.waiting.Pop(); ok; w, ok = g.waiting.Pop() {
+		w.ready <- ErrLeaving
+	}
+}
+
+// Open takes requests again after Close.
+func (g *Gate) Open() {
+	g.mu.Lock()
+	g.closed = false
+	g.mu.Unlock()
+}
+
+// Load returns how busy the target is.
+func (g *Gate) Load() call.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return call.Load{Busy: g.busy, Queued: g.waiting.Len(), Limit: g.limit, Wait: g.lastIn}
+}
+
+// admit lets waiting requests in while there is room. One that cannot be
+// done in time any more is refused: the target would work for nobody.
+func (g *Gate) admit() {
+	for g.busy < g.limit {
+		w, ok := g.waiting.Pop()
+		if !ok {
+			return
+		}
+		if time.Now().Add(g.mean / 2).After(w.t.Deadline) {
+			w.ready <- ErrTooLate
+			continue
+		}
+		g.busy++
+		g.lastIn = time.Since(w.since)
+		w.ready <- nil
+	}
+}
+
+// expectedWait is how long a new request would wait: all that comes before
+// it, served by all slots at the mean service time.
+func (g *Gate) expectedWait(t Ticket) time.Duration {
+	ahead := g.waiting.Ahead(level(t)) + 1
+	return time.Duration(ahead) * g.mean / time.Duration(g.limit)
+}
+
+// level is a ticket's place in the queue: calls of requests that already run
+// before new ones, since refusing one of them wastes all that ran above it.
+func level(t Ticket) int {
+	l := int(min(t.Rank, maxRank))
+	if !t.Begun {
+		l += maxRank + 1
+	}
+	return l
+}
