Refuse new requests at the entry by level, and catch up from peers by revision

Cause 2: a request whose inner call fails wastes all the work above it. Each target's node now works out up to which level (rank, then a part drawn from the id) its target can serve what comes; answers carry that back along the calls, and the node at which a request enters refuses what is above it at once, with a time to come back within its target latency.

--- /dev/null
+++ b/admit/level.go
@@ -0,0 +1,30 @@
+package admit
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/oatpin/oatpin/call"
+)
+
+const (
+	// parts is how finely the requests of one rank are told apart: refusing
+	// one part more or less changes a rank's load by 1/16, under the noise
+	// of arrivals at one target.
+	parts = 16
+	// maxRank is the lowest rank told apart.
+	maxRank = 7
+	levels  = (maxRank + 1) * parts
+
+	// Top is the level up to which everything is admitted.
+	Top call.Level = levels - 1
+)
+
+// LevelOf returns a request's level: its rank and, within it, a part drawn
+// from its id. All nodes draw the same part, so a request that one target
+// would refuse is refused as a whole and not after half its calls.
+func LevelOf(priority int, id call.RequestID) call.Level {
+	rank := max(0, min(priority, maxRank))
+	return call.Level(rank*parts) + call.Level(xxhash.Sum64String(string(id))%parts)
+}
+
+// RankOf returns the rank of a level, 0 to be served first.
+func RankOf(l call.Level) int { return int(min(l, Top)) / parts }
--- a/call/http.go
+++ b/call/http.go
@@ -1,9 +1,5 @@
 package call
 
-import (
-	"time"
-)
-
 type (
 	// Headers names the headers by which callers and targets exchange a
 	// request's metadata, for targets that do not speak oatpin's own.
@@ -24,9 +20,10 @@
 		Value    string
 	}
 
-	// Rank orders requests under overload: of two, the one with the smaller
-	// rank is served first and refused last.
-	Rank uint8
+	// Level orders requests under overload: of two, the one with the smaller
+	// level is served first and refused last. A request's calls have its
+	// level.
+	Level uint16
 
 	// HTTPRequest is a caller's request as it came, for a target that is to
 	// get it unchanged.
@@ -37,7 +34,7 @@
 		URI        string // path and query as sent
 		Header     []Field
 		Caller     string // service of the VM at which the request began
-		Rank       Rank
+		Level      Level
 		Begun      bool // made by a request that already runs
 		Idempotent bool
 	}
@@ -55,6 +52,6 @@
 		Busy     int           // requests the target works on
 		Queued   int           // requests that wait for it at its node
 		Limit    int           // requests it may work on at once
-		Wait     time.Duration // how long the last admitted request waited
+		Admit    Level         // up to which the target, and those it calls, can serve what comes
 	}
 )
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -49,13 +49,15 @@
 		awaySince time.Time                // zero while the source answers
 		graceEnds time.Time                // after an outage
 		listed    bool                     // a snapshot was applied
+		revision  Revision                 // up to which everything is known
+		jumped    chan struct{}            // of one: revision moved on by another way than the watch
 		onChange  []func(*View)
 	}
 )
 
 // New returns a Directory that knows nothing yet.
 func New(l log.Interface) *Directory {
-	d := &Directory{log: l, instances: map[InstanceID]Instance{}, doubtful: map[InstanceID]time.Time{}}
+	d := &Directory{log: l, instances: map[InstanceID]Instance{}, doubtful: map[InstanceID]time.Time{}, jumped: make(chan struct{}, 1)}
 	d.view.Store(newView(nil, nil))
 	return d
 }
@@ -94,29 +96,40 @@
 		}
 	}
 	d.listed = true
+	d.revision = max(d.revision, s.Revision)
 	d.publish()
 }
 
-// Merge takes over what another node knows, without removing anything: its
-// list may be older than this one's in any entry.
-func (d *Directory) Merge(s Snapshot) {
+// CatchUp takes over another node's snapshot if it is newer than what is
+// known here, and reports whether it was. The watch goes on from there.
+func (d *Directory) CatchUp(s Snapshot) bool {
+	if s.Revision <= d.Revision() {
+		return false
+	}
+	d.Replace(s)
+	select {
+	case d.jumped <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// Revision returns up to which revision of the source everything is known.
+func (d *Directory) Revision() Revision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.adopt(s.Routes)
-	for _, in := range s.Instances {
-		d.put(in)
-	}
-	d.listed = d.listed || len(s.Instances) > 0
-	d.publish()
+	return d.revision
 }
 
-// Apply takes over changes in their order.
-func (d *Directory) Apply(changes []Change) {
+// Apply takes over changes in their order; with them everything up to a
+// revision is known.
+func (d *Directory) Apply(changes []Change, upTo Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision = max(d.revision, upTo)
 	if len(changes) == 0 {
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	for _, c := range changes {
 		switch {
 		case c.Routes != nil:
@@ -228,9 +241,10 @@
 
 // Snapshot returns everything known, for another node that knows less.
 func (d *Directory) Snapshot() Snapshot {
-	v := d.View()
-	s := Snapshot{Routes: v.Routes}
-	for _, in := range v.All() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := Snapshot{Revision: d.revision, Routes: d.routes}
+	for _, in := range d.instances {
 		s.Instances = append(s.Instances, in)
 	}
 	return s
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -10,10 +10,18 @@
 )
 
 const (
-	// watchWait is how long one watch waits for a change. Each watch is a
-	// priced call; a connection that went silent is noticed by its
-	// keep-alive probes well before.
-	watchWait = 20 * time.Second
+	// lookSpacing is how far apart, over all nodes, watches end without a
+	// change and are asked again: a change that the source did not tell is
+	// found within about that time, for four calls a second at any size.
+	lookSpacing = 250 * time.Millisecond
+	// watchMin and watchMax bound how long one watch waits: calls have their
+	// price, and a source keeps its history for twenty seconds.
+	watchMin = time.Second
+	watchMax = 15 * time.Second
+	// gatherTime is how long a node waits after a change before it asks for
+	// the next: changes come in groups, each call has its price, and a tenth
+	// of the bound for a change to be in force is enough.
+	gatherTime = 200 * time.Millisecond
 	// readWait bounds a read that is answered at once: thousands of times
 	// its usual milliseconds, and under what a slow source takes (some
 	// hundred milliseconds).
@@ -75,34 +83,75 @@
 	return d.watch(ctx, src, s.Revision, ok)
 }
 
-// watch applies changes after a revision. A failed watch is asked once more
-// at once, from the same revision: the source cuts waiting watches now and
-// then, and reading everything again costs more.
+// watch applies changes after a revision. A failed watch is asked again from
+// the same revision: the source cuts waiting watches now and then, and
+// reading everything again costs more.
 func (d *Directory) watch(ctx context.Context, src Source, after Revision, ok func()) error {
 	backoff := backoffMin
 	for ctx.Err() == nil {
 		asked := time.Now()
-		wctx, cancel := context.WithTimeout(ctx, watchWait+readWait)
-		changes, next, err := src.Watch(wctx, after, watchWait)
+		wait := d.lookEvery()
+		wctx, cancel := context.WithTimeout(ctx, wait+readWait)
+		stop := d.interrupt(wctx, cancel)
+		changes, next, err := src.Watch(wctx, after, wait)
+		jumped := stop()
 		cancel()
-		if errors.Is(err, ErrHistoryLost) {
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, ErrHistoryLost):
 			return err
-		}
-		if err != nil {
+		case err != nil && jumped:
+			after = d.Revision()
+		case err != nil:
 			d.Away(silentSince(asked, err), err)
 			pause(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, backoffMax)
-			continue
+		default:
+			backoff = backoffMin
+			d.Back()
+			ok()
+			d.Apply(changes, next)
+			after = max(next, d.Revision())
+			if len(changes) > 0 {
+				pause(ctx, gatherTime)
+			}
 		}
-		backoff = backoffMin
-		d.Back()
-		ok()
-		after = next
-		d.Apply(changes)
 	}
 	return ctx.Err()
 }
 
+// lookEvery is how long the next watch waits at most. A source may lose what
+// a waiting watch should have told, and only a new call shows it; with each
+// node asking anew at another time, some node sees it soon and the others
+// learn it from that one.
+func (d *Directory) lookEvery() time.Duration {
+	nodes := len(d.View().All())
+	wait := min(max(time.Duration(nodes)*lookSpacing, watchMin), watchMax)
+	return wait*3/4 + rand.N(wait/2)
+}
+
+// interrupt ends a watch with cancel when the revision moves on by another
+// way; the function returned ends that and reports whether it happened.
+func (d *Directory) interrupt(ctx context.Context, cancel context.CancelFunc) (stop func() bool) {
+	done := make(chan struct{})
+	jumped := make(chan bool, 1)
+	go func() {
+		select {
+		case <-d.jumped:
+			cancel()
+			jumped <- true
+		case <-done:
+			jumped <- false
+		case <-ctx.Done():
+			jumped <- false
+		}
+	}()
+	return func() bool {
+		close(done)
+		return <-jumped
+	}
+}
+
 // silentSince returns when a source that failed a call was last known to
 // answer: now for an error it or its connection gave, and the moment of
 // asking for a call that heard nothing at all.
--- a/node/node.go
+++ b/node/node.go
@@ -114,7 +114,7 @@
 		n.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
 	}
 	n.stats = newStats(cfg.Settings.Instance)
-	n.peers = wire.NewPool(wire.PoolConfig{From: cfg.Settings.Instance, Log: n.log, OnVersion: n.onPeerVersion, Dial: cfg.Dial})
+	n.peers = wire.NewPool(wire.PoolConfig{From: cfg.Settings.Instance, Log: n.log, OnVersion: func(p wire.Peer, v uint64) { n.onPeerVersion(p.Name, v) }, Dial: cfg.Dial})
 	n.book = owner.NewBook(owner.Config{Instance: cfg.Settings.Instance, Window: dedupWindow, Skew: cfg.Skew, Gone: n.gone})
 	n.local = filter.Chain(filter.HandlerFunc(n.callTarget),
 		filter.Deadline(cfg.Skew),
--- a/sidecar/answer.go
+++ b/sidecar/answer.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -53,9 +52,3 @@
 	}
 	http.Error(w, why, code)
 }
-
-func sameHost(a, b string) bool {
-	ha, _, errA := net.SplitHostPort(a)
-	hb, _, errB := net.SplitHostPort(b)
-	return errA == nil && errB == nil && ha == hb
-}
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
 )
@@ -65,6 +66,9 @@
 	defer cancel()
 	a := n.forward(ctx, r.Context(), q)
 	n.stats.answered(q.route.Name, a.Status)
+	if a.Status == call.OK {
+		n.usual.Took(q.route.Name, time.Since(q.entered))
+	}
 	n.write(w, q, a)
 }
 
@@ -87,22 +91,51 @@
 	if err != nil {
 		return nil, &refusal{code: http.StatusBadRequest, why: err.Error()}
 	}
-	if since, ok := n.leavingSince(); ok && since > refuseAfter && !n.fromTarget(r) {
-		return nil, &refusal{code: http.StatusServiceUnavailable, after: comeBackLeaving, why: "node is leaving"}
+	id := call.RequestID(r.Header.Get(n.cfg.Headers.RequestID))
+	level, begun := n.place(id, rt)
+	if !begun {
+		if no := n.admitNew(rt, level, left); no != nil {
+			return nil, no
+		}
 	}
 	body, no := n.readBody(w, r, routes.Limits.BodyBytes)
 	if no != nil {
 		return nil, no
 	}
 	q := &request{route: rt, entered: entered, deadline: entered.Add(left)}
-	q.ID = call.RequestID(r.Header.Get(n.cfg.Headers.RequestID))
+	q.ID = id
 	q.Service = rt.Service(n.draw())
 	q.Body = body
+	q.Operation = rt.Name
 	q.HTTP = &call.HTTPRequest{Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: n.fields(r.Header),
-		Caller: n.cfg.Service, Rank: rank(rt.Priority), Begun: n.fromTarget(r), Idempotent: rt.Idempotent}
+		Caller: n.cfg.Service, Level: level, Begun: begun, Idempotent: rt.Idempotent}
 	return q, nil
 }
 
+// place returns a request's level, and whether it is a call of a request
+// that already runs; such a call has the level of that request.
+func (n *Node) place(id call.RequestID, rt *directory.Route) (level call.Level, begun bool) {
+	if p, ok := n.running.parent(id); ok {
+		n.board.Called(p.route, rt.Name)
+		return p.level, true
+	}
+	return admit.LevelOf(rt.Priority, id), false
+}
+
+// admitNew refuses a new request that the node will not see through, or that
+// some target on its way is too busy for: it would run in part, for nothing,
+// and take room from those that can be done.
+func (n *Node) admitNew(rt *directory.Route, level call.Level, left time.Duration) *refusal {
+	if since, ok := n.leavingSince(); ok && since > refuseAfter {
+		return &refusal{code: http.StatusServiceUnavailable, after: comeBackLeaving, why: "node is leaving"}
+	}
+	if up := n.board.Threshold(rt.Name); level > up {
+		return &refusal{code: http.StatusServiceUnavailable, after: n.comeBack(rt, left),
+			why: "overload: level " + strconv.Itoa(int(level)) + " is over " + strconv.Itoa(int(up))}
+	}
+	return nil
+}
+
 // noRoute refuses a request that no route matches. While the source of the
 // routes is away a newer version may have the route, so that is no final
 // answer.
@@ -195,12 +228,6 @@
 	return false
 }
 
-// fromTarget reports whether the local target sent the request: it calls
-// from its own address, callers from others.
-func (n *Node) fromTarget(r *http.Request) bool {
-	return sameHost(r.RemoteAddr, n.cfg.Target)
-}
-
 // draw returns evenly spread numbers in [0,1) for split routes: multiples of
 // the golden ratio, which keep every share near its weight over short times.
 func (n *Node) draw() float64 {
@@ -209,8 +236,6 @@
 	return x - float64(int64(x))
 }
 
-func rank(priority int) call.Rank { return call.Rank(max(0, min(priority, 255))) }
-
 // refusal is an answer of the node's own to a request that has run nowhere.
 type refusal struct {
 	code  int
--- /dev/null
+++ b/sidecar/catchup.go
@@ -0,0 +1,78 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/wire"
+)
+
+const (
+	// snapshotOperation asks a node for all it knows of the deployment.
+	snapshotOperation = "directory.snapshot"
+	// catchUpAfter is how long a node that hears of a newer revision waits
+	// for its own watch to tell it: all watches hear of a change within
+	// milliseconds, and asking each other then would be for nothing.
+	catchUpAfter = 300 * time.Millisecond
+	// catchUpWait bounds asking another node.
+	catchUpWait = time.Second
+)
+
+// heardRevision is told the revision that a peer's answer carries. A source
+// that lost a change, or does not answer this node while it answers others,
+// shows as a peer that stays ahead.
+func (n *Node) heardRevision(p wire.Peer, rev uint64) {
+	if directory.Revision(rev) <= n.dir.Revision() || !n.catching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer n.catching.Store(false)
+		select {
+		case <-n.stop:
+			return
+		case <-time.After(catchUpAfter):
+		}
+		if directory.Revision(rev) <= n.dir.Revision() {
+			return
+		}
+		if err := n.catchUp(p); err != nil {
+			n.log.WithField("peer", p.Addr).WithError(err).Warn("catch_up_failed")
+		}
+	}()
+}
+
+// catchUp takes over what a peer knows.
+func (n *Node) catchUp(p wire.Peer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), catchUpWait)
+	defer cancel()
+	conn, err := n.peers.Get(ctx, p)
+	if err != nil {
+		return err
+	}
+	a, err := conn.Call(ctx, call.Request{ID: snapshotOperation, Operation: snapshotOperation, Remaining: catchUpWait}, uint64(n.dir.Revision()))
+	if err != nil {
+		return err
+	}
+	s, err := directory.Decode(a.Body)
+	if err != nil {
+		return err
+	}
+	from := n.dir.Revision()
+	if n.dir.CatchUp(s) {
+		n.log.WithFields(log.Fields{"peer": p.Addr, "from": from, "to": s.Revision}).Info("caught_up")
+	}
+	return nil
+}
+
+// serveSnapshot answers another node's question for all that is known here.
+func (n *Node) serveSnapshot(r call.Request) call.Answer {
+	b, err := directory.Encode(n.dir.Snapshot())
+	if err != nil {
+		n.log.WithError(err).Error("snapshot_not_encoded")
+		return call.Refuse(r, err.Error(), 0)
+	}
+	return call.Answer{ID: r.ID, Status: call.OK, Body: b}
+}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -16,11 +16,12 @@
 	// maxPicks bounds how many nodes are asked for one request; asking one
 	// that refuses costs a few milliseconds and runs nothing.
 	maxPicks = 4
-	// comeBackBusy is when to come back after every instance asked was full
-	// and none said for how long.
-	comeBackBusy = 400 * time.Millisecond
 	// comeBackNone is when to come back to a service without instances.
 	comeBackNone = time.Second
+	// peerMargin is how much sooner than here a request's time ends at the
+	// node beside its instance: that node knows whether the request has run,
+	// and its answer is to be here before this node must say it cannot know.
+	peerMargin = 15 * time.Millisecond
 	// leastTime is what must be left for another try to be worth sending.
 	leastTime = 20 * time.Millisecond
 )
@@ -55,7 +56,7 @@
 		last = call.Answer{ID: q.ID, Status: call.Unknown, Reason: "an earlier try may have run; the last was refused: " + last.Reason}
 	}
 	if last.Status == call.NotRun && last.RetryAfter == 0 {
-		last.RetryAfter = comeBackBusy
+		last.RetryAfter = n.comeBack(q.route, time.Until(q.deadline))
 	}
 	return last
 }
@@ -84,6 +85,9 @@
 		o.Failed = false // its caller left or its time was up, which is not the instance's fault alone
 	}
 	n.balancer.Done(in.ID, o)
+	if a.Load != nil {
+		n.board.Told(q.route.Name, a.Load.Admit)
+	}
 	if a.Status != call.OK {
 		n.note.Note("try_ended", func() log.Fields {
 			f := log.Fields{"id": q.ID, "route": q.route.Name, "service": q.Service, "instance": in.ID, "dc": in.DC, "revision": in.Revision,
@@ -102,9 +106,9 @@
 func (n *Node) send(ctx context.Context, q *request, in directory.Instance) (a call.Answer, reachable bool) {
 	r := q.Request
 	r.To = string(in.ID)
-	r.Remaining = time.Until(q.deadline)
+	r.Remaining = time.Until(q.deadline) - peerMargin
 	if in.Addr == n.cfg.Target {
-		return n.serve(ctx, r), true
+		return n.serveLocal(ctx, r), true
 	}
 	host, _, err := net.SplitHostPort(in.Addr)
 	if err != nil {
@@ -119,7 +123,7 @@
 			return call.Refuse(r, "node unreachable: "+err.Error(), 0), false
 		}
 		r.Sent = time.Now()
-		a, err := conn.Call(ctx, r, n.version())
+		a, err := conn.Call(ctx, r, n.revision())
 		if err == nil {
 			return a, true
 		}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/balance"
 	"github.com/oatpin/oatpin/budget"
 	"github.com/oatpin/oatpin/call"
@@ -68,6 +69,11 @@
 		dir      *directory.Directory
 		balancer *balance.Balancer
 		gate     *slots.Gate
+		work     *slots.Work // of the local target, by route
+		usual    *slots.Work // of whole requests that began here, by route
+		meter    *admit.Meter
+		board    *admit.Board
+		running  *running
 		target   *targetconn.Pool
 		peers    *wire.Pool
 		peerPort string
@@ -77,11 +83,12 @@
 		ready    *http.Server
 		metrics  *http.Server
 
-		draws   atomic.Uint64 // numbers the draws of split routes
-		bodies  atomic.Int64  // bytes of callers' bodies held
-		active  atomic.Int64  // callers' requests being answered
-		leaving atomic.Int64  // unix nanoseconds of the stop's begin, 0 before
-		self    atomic.Pointer[directory.Instance]
+		draws    atomic.Uint64 // numbers the draws of split routes
+		bodies   atomic.Int64  // bytes of callers' bodies held
+		active   atomic.Int64  // callers' requests being answered
+		catching atomic.Bool   // a peer is being asked for its snapshot
+		leaving  atomic.Int64  // unix nanoseconds of the stop's begin, 0 before
+		self     atomic.Pointer[directory.Instance]
 
 		mu      sync.Mutex
 		windows map[string]*budget.Window // by service
@@ -103,14 +110,19 @@
 		dir:      cfg.Directory,
 		balancer: balance.New(cfg.DC),
 		gate:     slots.NewGate(firstSlots),
+		work:     slots.NewWork(),
+		usual:    slots.NewWork(),
+		meter:    admit.NewMeter(firstSlots),
+		board:    admit.NewBoard(),
+		running:  newRunning(),
 		target:   targetconn.NewPool(targetconn.Config{Addr: cfg.Target, Headers: cfg.Headers}),
-		peers:    wire.NewPool(wire.PoolConfig{From: cfg.Name, Log: cfg.Log}),
 		peerPort: port,
 		stats:    newStats(cfg.Name),
 		windows:  map[string]*budget.Window{},
 		stop:     make(chan struct{}),
 	}
-	n.wire = wire.Server{Handler: n.servePeer, Version: n.version}
+	n.peers = wire.NewPool(wire.PoolConfig{From: cfg.Name, Log: cfg.Log, OnVersion: n.heardRevision})
+	n.wire = wire.Server{Handler: n.servePeer, Version: n.revision}
 	n.callers = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes}
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerWait}
 	n.metrics = &http.Server{Handler: n.stats, ReadHeaderTimeout: headerWait}
@@ -159,7 +171,9 @@
 	}
 	old := n.self.Swap(&in)
 	if old == nil || old.Slots != in.Slots {
-		n.gate.SetLimit(int(float64(in.Slots) * usableSlots))
+		usable := int(float64(in.Slots) * usableSlots)
+		n.gate.SetLimit(usable)
+		n.meter.SetSlots(usable)
 	}
 	if in.Leaving {
 		// What waits here has not run: other instances can have it now.
@@ -175,6 +189,8 @@
 	}
 }
 
+func (n *Node) revision() uint64 { return uint64(n.dir.Revision()) }
+
 func (n *Node) version() uint64 {
 	if r := n.dir.View().Routes; r != nil {
 		return uint64(r.Version)
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -12,22 +12,34 @@
 	"github.com/oatpin/oatpin/targetconn"
 )
 
+// firstWork is taken as the time a route's requests take at the target until
+// one is measured.
+const firstWork = 50 * time.Millisecond
+
 // servePeer serves a request that came from another node.
 func (n *Node) servePeer(ctx context.Context, r call.Request) call.Answer {
+	if r.Operation == snapshotOperation {
+		return n.serveSnapshot(r)
+	}
 	if r.HTTP == nil {
 		return call.Refuse(r, "not a request by route", 0)
 	}
+	if _, leaving := n.leavingSince(); leaving {
+		a := call.Refuse(r, "node is leaving", 0)
+		a.Leaving = true
+		return a
+	}
+	return n.serveLocal(ctx, r)
+}
+
+// serveLocal serves a request by the local target within the time it has.
+func (n *Node) serveLocal(ctx context.Context, r call.Request) call.Answer {
 	if !r.HTTP.Idempotent {
 		// The sender's connection may break; the action goes on to its end.
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
 	defer cancel()
-	if _, leaving := n.leavingSince(); leaving {
-		a := call.Refuse(r, "node is leaving", 0)
-		a.Leaving = true
-		return a
-	}
 	return n.serve(ctx, r)
 }
 
@@ -40,24 +52,32 @@
 		return a
 	}
 	deadline, _ := ctx.Deadline()
-	_, err := n.gate.Enter(ctx, slots.Ticket{Rank: r.HTTP.Rank, Begun: r.HTTP.Begun, Deadline: deadline})
+	n.meter.Arrive(r.HTTP.Level, n.work.Mean(r.Operation, firstWork), n.gate.Waiting())
+	waited, err := n.gate.Enter(ctx, slots.Ticket{Level: r.HTTP.Level, Begun: r.HTTP.Begun, Deadline: deadline})
 	if err != nil {
-		a := call.Refuse(r, "target: "+err.Error(), 0)
+		a := call.Refuse(r, "target: "+err.Error()+" after "+waited.String(), 0)
 		a.Leaving = errors.Is(err, slots.ErrLeaving)
-		return n.withLoad(a)
+		return n.withLoad(r, a)
 	}
+	n.running.add(r.ID, run{route: r.Operation, level: r.HTTP.Level})
 	began := time.Now()
 	a := n.callTarget(ctx, r, deadline)
 	took := time.Since(began)
+	n.running.remove(r.ID)
 	if a.Status != call.OK {
 		took = 0
+	} else {
+		n.work.Took(r.Operation, took)
 	}
 	n.gate.Leave(took)
-	return n.withLoad(a)
+	return n.withLoad(r, a)
 }
 
-func (n *Node) withLoad(a call.Answer) call.Answer {
+// withLoad adds how busy the target is, and up to which level the targets
+// are not too busy that a request by this route meets.
+func (n *Node) withLoad(r call.Request, a call.Answer) call.Answer {
 	l := n.gate.Load()
+	l.Admit = min(n.meter.Threshold(), n.board.Below(r.Operation))
 	a.Load = &l
 	return a
 }
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -5,13 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/call"
 	"github.com/rotisserie/eris"
 )
 
 const (
-	// maxRank is the lowest rank told apart; ranks beyond it queue with it.
-	maxRank = 7
 	// smoothing is the weight of the newest service time in the mean: some
 	// thirty requests, a fraction of a second at a busy target, so that a
 	// target that turns slow shows within a second.
@@ -32,7 +31,7 @@
 type (
 	// Ticket is what decides a request's place.
 	Ticket struct {
-		Rank     call.Rank
+		Level    call.Level
 		Begun    bool // a call of a request that already runs
 		Deadline time.Time
 	}
@@ -46,7 +45,6 @@
 		busy    int
 		mean    time.Duration // service time
 		waiting Levels[*waiter]
-		lastIn  time.Duration // how long the last admitted request waited
 		closed  bool
 	}
 
@@ -67,7 +65,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limit = max(limit, 1)
-	g.admit()
+	g.letIn()
 }
 
 // Enter waits until the request may go to the target, and returns how long
@@ -81,7 +79,6 @@
 	}
 	if g.busy < g.limit && g.waiting.Len() == 0 {
 		g.busy++
-		g.lastIn = 0
 		g.mu.Unlock()
 		return 0, nil
 	}
@@ -139,7 +136,7 @@
 	if took > 0 {
 		g.mean += time.Duration(float64(took-g.mean) * smoothing)
 	}
-	g.admit()
+	g.letIn()
 }
 
 // Close refuses all that waits and whatever comes later.
@@ -163,12 +160,19 @@
 func (g *Gate) Load() call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return call.Load{Busy: g.busy, Queued: g.waiting.Len(), Limit: g.limit, Wait: g.lastIn}
+	return call.Load{Busy: g.busy, Queued: g.waiting.Len(), Limit: g.limit}
 }
 
-// admit lets waiting requests in while there is room. One that cannot be
+// Waiting returns the slot time that the waiting requests will take.
+func (g *Gate) Waiting() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Duration(g.waiting.Len()) * g.mean
+}
+
+// letIn lets waiting requests in while there is room. One that cannot be
 // done in time any more is refused: the target would work for nobody.
-func (g *Gate) admit() {
+func (g *Gate) letIn() {
 	for g.busy < g.limit {
 		w, ok := g.waiting.Pop()
 		if !ok {
@@ -179,7 +183,6 @@
 			continue
 		}
 		g.busy++
-		g.lastIn = time.Since(w.since)
 		w.ready <- nil
 	}
 }
@@ -194,9 +197,9 @@
 // level is a ticket's place in the queue: calls of requests that already run
 // before new ones, since refusing one of them wastes all that ran above it.
 func level(t Ticket) int {
-	l := int(min(t.Rank, maxRank))
+	l := admit.RankOf(t.Level)
 	if !t.Begun {
-		l += maxRank + 1
+		l += admit.RankOf(admit.Top) + 1
 	}
 	return l
 }
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -29,9 +29,9 @@
 	PoolConfig struct {
 		From string // this node's instance name, sent with each request
 		Log  log.Interface
-		// OnVersion is told the text version that each answer of a peer
-		// carries; may be nil.
-		OnVersion func(peer string, version uint64)
+		// OnVersion is told the version that each answer of a peer carries;
+		// may be nil.
+		OnVersion func(p Peer, version uint64)
 		// Dial opens the network connection; nil for TCP.
 		Dial func(ctx context.Context, addr string) (net.Conn, error)
 	}
@@ -100,7 +100,7 @@
 	defer cancel()
 	cfg := DialConfig{From: p.cfg.From, Dial: p.cfg.Dial}
 	if p.cfg.OnVersion != nil {
-		cfg.OnVersion = func(v uint64) { p.cfg.OnVersion(peer.Name, v) }
+		cfg.OnVersion = func(v uint64) { p.cfg.OnVersion(peer, v) }
 	}
 	d.conn, d.err = Dial(ctx, peer.Addr, cfg)
 	p.mu.Lock()
