--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,119 @@
+package balance
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/directory"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+var instances = []directory.Instance{
+	{ID: "near", DC: "nord", Slots: 60},
+	{ID: "far", DC: "sued", Slots: 60},
+}
+
+// picks sends n requests one after the other, each ending with the outcome
+// that end gives, and counts where they went.
+func picks(b *Balancer, n int, end func(id directory.InstanceID) Outcome) map[directory.InstanceID]int {
+	count := map[directory.InstanceID]int{}
+	for range n {
+		in, ok := b.Pick(instances, nil)
+		So(ok, ShouldBeTrue)
+		count[in.ID]++
+		b.Done(in.ID, end(in.ID))
+		time.Sleep(time.Millisecond)
+	}
+	return count
+}
+
+func loadOf(busy int) *call.Load { return &call.Load{Busy: busy, Limit: 60} }
+
+func TestTheNearInstanceIsFilledBeforeTheFarOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Bytes between data centres are dear, waiting is dearer", t, func() {
+			b := New("nord")
+			fine := func(directory.InstanceID) Outcome { return Outcome{Took: time.Millisecond, Load: loadOf(10)} }
+			So(picks(b, 100, fine)["near"], ShouldEqual, 100)
+			busy := func(id directory.InstanceID) Outcome {
+				if id == "near" {
+					return Outcome{Took: time.Millisecond, Load: loadOf(58)}
+				}
+				return fine(id)
+			}
+			So(picks(b, 100, busy)["far"], ShouldBeGreaterThan, 90)
+		})
+	})
+}
+
+// An instance fails half its requests while its health check is good. Its
+// slots are free, so by load alone it would get the most. It must get few,
+// and its share back once it has mended.
+func TestAnInstanceThatFailsGetsFewRequestsUntilItMends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Failures drive requests away, for a while", t, func() {
+			b := New("nord")
+			n := 0
+			grey := func(id directory.InstanceID) Outcome {
+				n++
+				return Outcome{Failed: id == "near" && n%2 == 0, Load: loadOf(10)}
+			}
+			picks(b, 50, grey)
+			So(picks(b, 200, grey)["near"], ShouldBeLessThan, 40)
+			fine := func(directory.InstanceID) Outcome { return Outcome{Load: loadOf(10)} }
+			time.Sleep(20 * time.Second)
+			picks(b, 100, fine)
+			So(picks(b, 100, fine)["near"], ShouldBeGreaterThan, 90)
+		})
+	})
+}
+
+// A node cannot be reached. Each request that tries it first loses the time
+// of a dial; it is to be tried again once in a while only, and it must still
+// be tried when it is the only one.
+func TestAnUnreachableInstanceIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("It is left alone for a second, unless nothing else is left", t, func() {
+			b := New("nord")
+			in, _ := b.Pick(instances, nil)
+			b.Done(in.ID, Outcome{Unreachable: true})
+			fine := func(directory.InstanceID) Outcome { return Outcome{Load: loadOf(1)} }
+			So(picks(b, 500, fine)["near"], ShouldEqual, 0)
+			in, ok := b.Pick(instances, []directory.InstanceID{"far"})
+			So(ok, ShouldBeTrue)
+			So(in.ID, ShouldEqual, directory.InstanceID("near"))
+			b.Done("near", Outcome{Unreachable: true})
+			time.Sleep(unreachablePause)
+			So(picks(b, 10, fine)["near"], ShouldEqual, 10)
+		})
+	})
+}
+
+func TestLeavingAndTriedInstancesGetNothing(t *testing.T) {
+	Convey("Neither an instance that leaves nor one already asked is picked", t, func() {
+		b := New("nord")
+		leaving := []directory.Instance{{ID: "a", Leaving: true}, {ID: "b"}}
+		in, ok := b.Pick(leaving, nil)
+		So(ok, ShouldBeTrue)
+		So(in.ID, ShouldEqual, directory.InstanceID("b"))
+		_, ok = b.Pick(leaving, []directory.InstanceID{"b"})
+		So(ok, ShouldBeFalse)
+	})
+}
+
+// BenchmarkPick measures choosing among the instances of a service at the
+// size to design for: 1,100 instances in 120 services.
+func BenchmarkPick(b *testing.B) {
+	bal := New("nord")
+	var ins []directory.Instance
+	for i := range 10 {
+		ins = append(ins, directory.Instance{ID: directory.InstanceID(rune('a' + i)), DC: "nord", Slots: 100})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		in, _ := bal.Pick(ins, nil)
+		bal.Done(in.ID, Outcome{Took: time.Millisecond})
+	}
+}
--- a/call/http.go
+++ b/call/http.go
@@ -48,10 +48,10 @@
 
 	// Load is how busy a target is, as its node sees it.
 	Load struct {
-		_msgpack struct{}      `msgpack:",as_array"`
-		Busy     int           // requests the target works on
-		Queued   int           // requests that wait for it at its node
-		Limit    int           // requests it may work on at once
-		Admit    Level         // up to which the target, and those it calls, can serve what comes
+		_msgpack struct{} `msgpack:",as_array"`
+		Busy     int      // requests the target works on
+		Queued   int      // requests that wait for it at its node
+		Limit    int      // requests it may work on at once
+		Admit    Level    // up to which the target, and those it calls, can serve what comes
 	}
 )
--- a/sidecar/answer.go
+++ b/sidecar/answer.go
@@ -31,7 +31,8 @@
 	switch {
 	case a.Status == call.NotRun:
 		code = http.StatusServiceUnavailable
-	case !time.Now().Before(q.deadline):
+	case time.Until(q.deadline) <= 2*peerMargin:
+		// Its time ended here or, a little earlier, beside its instance.
 		code = http.StatusGatewayTimeout
 	}
 	n.note.Note("request_ended", func() log.Fields {
--- /dev/null
+++ b/sidecar/fake_test.go
@@ -0,0 +1,236 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/oatpin/oatpin/budget"
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/directory"
+)
+
+var testHeaders = call.Headers{RequestID: "Request-Id", Deadline: "Deadline-Ms", Signature: "Signature",
+	ExpectedInstance: "Expected-Instance", NotExecuted: "Not-Executed", CallerService: "Caller-Service", InstanceID: "Instance-Id"}
+
+type (
+	// mesh is a few nodes on loopback addresses, each with a fake target.
+	mesh struct {
+		t     *testing.T
+		port  int // of every node's peer listener
+		vms   []*vm
+		ids   atomic.Int64
+		until []func()
+	}
+
+	// vm is one node and its fake target.
+	vm struct {
+		node   *Node
+		dir    *directory.Directory
+		target *fakeTarget
+		ip     string
+		self   directory.Instance
+		ended  chan error
+	}
+
+	// fakeTarget answers as an instance does and counts what it ran.
+	fakeTarget struct {
+		id     string
+		handle atomic.Pointer[http.HandlerFunc]
+		mu     sync.Mutex
+		ran    map[string]int
+		last   *http.Request
+		body   string
+	}
+)
+
+// signed answers a request as a target that ran it.
+func signed(w http.ResponseWriter, r *http.Request, code int, body string) {
+	w.Header().Set("Signature", "s")
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.WriteHeader(code)
+	io.WriteString(w, body)
+}
+
+func (f *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e := r.Header.Get("Expected-Instance"); e != f.id {
+		w.Header().Set("Instance-Id", f.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	f.ran[r.Header.Get("Request-Id")]++
+	f.last, f.body = r, string(body)
+	f.mu.Unlock()
+	if h := f.handle.Load(); h != nil {
+		(*h)(w, r)
+		return
+	}
+	signed(w, r, http.StatusOK, "answer of "+f.id)
+}
+
+func (f *fakeTarget) on(h http.HandlerFunc) { f.handle.Store(&h) }
+
+func (f *fakeTarget) runs(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ran[id]
+}
+
+func listenOn(t *testing.T, ip string) net.Listener {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func freePort(t *testing.T) int {
+	l := listenOn(t, "127.0.0.1")
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func freeAddr(t *testing.T, ip string) string { return net.JoinHostPort(ip, strconv.Itoa(freePort(t))) }
+
+var testRoutes = []directory.Route{
+	{Name: "read", Host: "h", Prefix: "/read/", Idempotent: true, MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Priority: 2, Shares: []directory.Share{{Service: "archiv", Weight: 1}}},
+	{Name: "publish", Host: "h", Prefix: "/publish/", MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Shares: []directory.Share{{Service: "archiv", Weight: 1}}},
+	{Name: "lookup", Host: "h", Prefix: "/lookup/", Idempotent: true, MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Priority: 1, Shares: []directory.Share{{Service: "versand", Weight: 1}}},
+}
+
+// newMesh starts a node and target for each service named, all of which know
+// the test routes and each other.
+func newMesh(t *testing.T, services ...string) *mesh {
+	m := &mesh{t: t, port: freePort(t)}
+	for i, service := range services {
+		m.vms = append(m.vms, m.start(fmt.Sprintf("127.0.0.%d", i+2), service))
+	}
+	m.tellAll(1)
+	t.Cleanup(m.stop)
+	return m
+}
+
+func (m *mesh) start(ip, service string) *vm {
+	v := &vm{ip: ip, target: &fakeTarget{id: "i-" + ip, ran: map[string]int{}}, ended: make(chan error, 1)}
+	l := listenOn(m.t, ip)
+	srv := &http.Server{Handler: v.target}
+	go srv.Serve(l)
+	m.until = append(m.until, func() { srv.Close() })
+	v.self = directory.Instance{ID: directory.InstanceID(v.target.id), Service: service, DC: "nord", Addr: l.Addr().String(), Slots: 20, Revision: 1}
+	m.run(v)
+	return v
+}
+
+// run starts a node beside v's target.
+func (m *mesh) run(v *vm) {
+	lg := &log.Logger{Handler: discard.New()}
+	v.dir = directory.New(lg)
+	n, err := New(Config{Name: "node-" + v.ip, DC: "nord", Service: v.self.Service, Target: v.self.Addr, Callers: freeAddr(m.t, v.ip),
+		Peer: net.JoinHostPort(v.ip, strconv.Itoa(m.port)), Ready: freeAddr(m.t, v.ip), Metrics: freeAddr(m.t, v.ip), Headers: testHeaders,
+		BodyBytes: 1 << 20, Repeats: budget.WindowConfig{Span: 10 * time.Second, Ratio: 0.1, Slack: 100}, Grace: 3 * time.Second, Directory: v.dir, Log: lg})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	v.node = n
+	go func() { v.ended <- n.Serve() }()
+	m.awaitListening(n.cfg.Callers)
+	m.awaitListening(n.cfg.Ready)
+}
+
+func (m *mesh) awaitListening(addr string) {
+	for range 200 {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	m.t.Fatalf("nothing listens on %s", addr)
+}
+
+// tellAll gives every node the test routes in a version and all instances.
+func (m *mesh) tellAll(version callgraph.Version) {
+	r, err := directory.NewRoutes(version, directory.Limits{BodyBytes: 1000}, testRoutes)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	s := directory.Snapshot{Revision: directory.Revision(version), Routes: r}
+	for _, v := range m.vms {
+		s.Instances = append(s.Instances, v.self)
+	}
+	for _, v := range m.vms {
+		v.dir.Replace(s)
+	}
+}
+
+func (m *mesh) stop() {
+	for _, v := range m.vms {
+		if _, leaving := v.node.leavingSince(); !leaving {
+			close(v.node.stop)
+			v.node.callers.Close()
+			v.node.wire.CloseConns()
+			v.node.peers.CloseAll()
+		}
+	}
+	for _, f := range m.until {
+		f()
+	}
+}
+
+// reply is what a caller got.
+type reply struct {
+	code   int
+	header http.Header
+	body   string
+	err    error
+}
+
+// send sends a request to v's node as a caller would, on a new connection.
+func (m *mesh) send(ctx context.Context, v *vm, method, path, body string, header map[string]string) (id string, got reply) {
+	id = "req" + strconv.FormatInt(m.ids.Add(1), 10)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.node.cfg.Callers+path, strings.NewReader(body))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Close = true
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Ms", "2000")
+	for k, val := range header {
+		req.Header.Set(k, val)
+		if val == "" {
+			req.Header.Del(k)
+		}
+		if k == "Request-Id" {
+			id = val
+		}
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return id, reply{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return id, reply{code: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+}
+
+func (m *mesh) get(v *vm, path string) (string, reply) {
+	return m.send(context.Background(), v, http.MethodGet, path, "", nil)
+}
--- /dev/null
+++ b/sidecar/path_test.go
@@ -0,0 +1,314 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/oatpin/oatpin/admit"
+	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/directory"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestARequestCrossesTwoNodesUnchanged(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("The target gets the caller's request and the caller the target's answer", t, func() {
+		id, got := m.send(context.Background(), m.vms[0], http.MethodPut, "/publish/a%2fb?x=1&y", "note",
+			map[string]string{"X-Own": "kept", "Caller-Service": "forged", "Expected-Instance": "forged", "Connection": "X-Hop, close", "X-Hop": "dropped"})
+		So(got.code, ShouldEqual, http.StatusOK)
+		So(got.body, ShouldEqual, "answer of i-127.0.0.3")
+		So(got.header.Get("Signature"), ShouldEqual, "s")
+		So(got.header.Get("Request-Id"), ShouldEqual, id)
+		tg := m.vms[1].target
+		So(tg.last.RequestURI, ShouldEqual, "/publish/a%2fb?x=1&y")
+		So(tg.last.Method, ShouldEqual, http.MethodPut)
+		So(tg.body, ShouldEqual, "note")
+		So(tg.last.Header.Get("X-Own"), ShouldEqual, "kept")
+		So(tg.last.Header.Get("X-Hop"), ShouldEqual, "")
+		So(tg.last.Header.Get("Caller-Service"), ShouldEqual, "versand")
+		So(tg.last.Header.Get("Expected-Instance"), ShouldEqual, "i-127.0.0.3")
+		ms, err := strconv.Atoi(tg.last.Header.Get("Deadline-Ms"))
+		So(err, ShouldBeNil)
+		So(ms, ShouldBeBetween, 800, 1001)
+	})
+}
+
+func TestBadRequestsAreRefusedClearly(t *testing.T) {
+	m := newMesh(t, "archiv")
+	Convey("Each has its own status and runs nothing", t, func() {
+		v := m.vms[0]
+		for _, c := range []struct {
+			name, path, body string
+			header           map[string]string
+			code             int
+		}{
+			{"unknown path", "/none/", "", nil, http.StatusNotFound},
+			{"no id", "/read/x", "", map[string]string{"Request-Id": ""}, http.StatusBadRequest},
+			{"odd deadline", "/read/x", "", map[string]string{"Deadline-Ms": "soon"}, http.StatusBadRequest},
+			{"negative deadline", "/read/x", "", map[string]string{"Deadline-Ms": "-1"}, http.StatusBadRequest},
+			{"long body", "/publish/x", strings.Repeat("x", 1001), nil, http.StatusRequestEntityTooLarge},
+		} {
+			id, got := m.send(context.Background(), v, http.MethodPost, c.path, c.body, c.header)
+			So(c.name+" "+strconv.Itoa(got.code), ShouldEqual, c.name+" "+strconv.Itoa(c.code))
+			So(v.target.runs(id), ShouldEqual, 0)
+		}
+		Convey("A request without a deadline has the route's timeout", func() {
+			_, got := m.send(context.Background(), v, http.MethodGet, "/read/x", "", map[string]string{"Deadline-Ms": ""})
+			So(got.code, ShouldEqual, http.StatusOK)
+			ms, _ := strconv.Atoi(v.target.last.Header.Get("Deadline-Ms"))
+			So(ms, ShouldBeBetween, 800, 1001)
+		})
+	})
+}
+
+// A node is started while the store does not answer. It knows no route, so a
+// 404 would deny a request that every version allows.
+func TestANodeThatKnowsNothingAsksCallersToComeBack(t *testing.T) {
+	m := &mesh{t: t, port: freePort(t)}
+	m.vms = append(m.vms, m.start("127.0.0.2", "archiv"))
+	t.Cleanup(m.stop)
+	Convey("503 with Retry-After, and not ready", t, func() {
+		_, got := m.get(m.vms[0], "/read/x")
+		So(got.code, ShouldEqual, http.StatusServiceUnavailable)
+		So(got.header.Get("Retry-After"), ShouldNotEqual, "")
+		So(readyCode(m.vms[0]), ShouldEqual, http.StatusServiceUnavailable)
+		m.tellAll(1)
+		So(readyCode(m.vms[0]), ShouldEqual, http.StatusOK)
+		_, got = m.get(m.vms[0], "/read/x")
+		So(got.code, ShouldEqual, http.StatusOK)
+	})
+}
+
+func readyCode(v *vm) int {
+	resp, err := http.Get("http://" + v.node.cfg.Ready + "/ready")
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// An instance runs a request and its connection breaks before the answer. A
+// publication must not be sent again, and "503, not run" would make the
+// client send it again; a read may go to another instance.
+func TestALostAnswer(t *testing.T) {
+	m := newMesh(t, "versand", "archiv", "archiv")
+	breakOff := func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}
+	Convey("An action ends unknown, run once; a read is answered by another instance", t, func() {
+		for _, v := range m.vms[1:] {
+			v.target.on(breakOff)
+		}
+		id, got := m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		So(got.code, ShouldEqual, http.StatusBadGateway)
+		So(m.vms[1].target.runs(id)+m.vms[2].target.runs(id), ShouldEqual, 1)
+		m.vms[2].target.on(func(w http.ResponseWriter, r *http.Request) { signed(w, r, http.StatusOK, "whole") })
+		for range 4 {
+			id, got = m.get(m.vms[0], "/read/x")
+			So(got.code, ShouldEqual, http.StatusOK)
+			So(got.body, ShouldEqual, "whole")
+			So(m.vms[1].target.runs(id)+m.vms[2].target.runs(id), ShouldBeLessThanOrEqualTo, 2)
+		}
+	})
+}
+
+// A full instance refuses a publication unrun. It may go to the next
+// instance; when all refuse, the caller is told that it has not run and when
+// to come back.
+func TestARefusalIsPassedOnAsOne(t *testing.T) {
+	m := newMesh(t, "versand", "archiv", "archiv")
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	Convey("One refusal is made up for, refusals by all are one answer", t, func() {
+		m.vms[1].target.on(refuse)
+		for range 4 {
+			_, got := m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+			So(got.code, ShouldEqual, http.StatusOK)
+		}
+		m.vms[2].target.on(refuse)
+		_, got := m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		So(got.code, ShouldEqual, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		So(err, ShouldBeNil)
+		So(after, ShouldBeBetween, 0.01, 1)
+		So(got.header.Get("Signature"), ShouldEqual, "")
+	})
+}
+
+// An instance has ended and another service's instance has its address; the
+// list here is old. The request must not run there.
+func TestAnAddressThatWasGivenAwayRunsNothing(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("The other instance refuses it, and so does its node", t, func() {
+		m.vms[1].target.id = "i-later"
+		id, got := m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		So(got.code, ShouldEqual, http.StatusServiceUnavailable)
+		So(m.vms[1].target.runs(id), ShouldEqual, 0)
+		later := m.vms[1].self
+		later.ID, later.Service, later.Revision = "i-later", "rankings", 5
+		m.vms[1].dir.Apply([]directory.Change{{Instance: &later}}, 5)
+		id, got = m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		So(got.code, ShouldEqual, http.StatusServiceUnavailable)
+		So(m.vms[1].target.runs(id), ShouldEqual, 0)
+	})
+}
+
+// A target never answers. The caller gets its final answer when the route's
+// timeout ends, though it would wait twice as long.
+func TestARouteTimeoutEndsARequest(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("504 at the timeout", t, func() {
+		m.vms[1].target.on(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		began := time.Now()
+		_, got := m.get(m.vms[0], "/read/x")
+		So(got.code, ShouldEqual, http.StatusGatewayTimeout)
+		So(time.Since(began), ShouldBeBetween, 900*time.Millisecond, 1400*time.Millisecond)
+	})
+}
+
+// A caller closes its connection while its read runs two nodes away. The
+// target stops, since nobody waits; an action goes on to its end.
+func TestACallerThatLeavesStopsItsRead(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("A read's target sees its connection close, an action's does not", t, func() {
+		for _, c := range []struct {
+			method, path string
+			stops        bool
+		}{{http.MethodGet, "/read/x", true}, {http.MethodPost, "/publish/x", false}} {
+			began := make(chan struct{}, 1)
+			stopped := make(chan bool, 1)
+			m.vms[1].target.on(func(_ http.ResponseWriter, r *http.Request) {
+				began <- struct{}{}
+				select {
+				case <-r.Context().Done():
+					stopped <- true
+				case <-time.After(400 * time.Millisecond):
+					stopped <- false
+				}
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() { <-began; cancel() }()
+			m.send(ctx, m.vms[0], c.method, c.path, "n", nil)
+			So(<-stopped, ShouldEqual, c.stops)
+			cancel()
+		}
+	})
+}
+
+// The target makes a call for a request that it runs. The call has the level
+// of that request, whatever its own route says, and goes before new requests.
+func TestACallHasTheLevelOfItsRequest(t *testing.T) {
+	m := newMesh(t, "archiv", "versand")
+	Convey("A call is found by its id, and is not refused as new", t, func() {
+		m.vms[0].target.on(func(w http.ResponseWriter, r *http.Request) {
+			v := m.vms[0]
+			id := r.Header.Get("Request-Id")
+			_, begun := v.node.place(rid(id+".c1"), &testRoutes[2])
+			level, _ := v.node.place(rid(id+".c1"), &testRoutes[2])
+			_, other := v.node.place(rid("x.c1"), &testRoutes[2])
+			if !begun || other || level != admit.LevelOf(2, rid(id)) {
+				signed(w, r, http.StatusInternalServerError, "not found")
+				return
+			}
+			v.node.board.Told("lookup", 0)
+			_, got := m.send(context.Background(), v, http.MethodGet, "/lookup/x", "", map[string]string{"Request-Id": id + ".c1"})
+			signed(w, r, got.code, "")
+		})
+		id, got := m.get(m.vms[0], "/read/x")
+		So(got.code, ShouldEqual, http.StatusOK)
+		So(m.vms[1].target.runs(id+".c1"), ShouldEqual, 1)
+		So(m.vms[0].node.board.Below("read"), ShouldBeLessThan, admit.Top)
+	})
+}
+
+// The targets on a read's way are too busy. It is refused where it enters,
+// before any of its work is done, with a time to come back that is within
+// what its caller still waits.
+func TestOverloadRefusesAtTheEntry(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("503 at once; the target sees nothing, approvals pass", t, func() {
+		m.vms[0].node.board.Told("read", 10)
+		id, got := m.get(m.vms[0], "/read/x")
+		So(got.code, ShouldEqual, http.StatusServiceUnavailable)
+		So(m.vms[1].target.runs(id), ShouldEqual, 0)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		So(err, ShouldBeNil)
+		So(after, ShouldBeBetween, 0.02, 0.5)
+		_, got = m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		So(got.code, ShouldEqual, http.StatusOK)
+	})
+}
+
+// A node gets SIGTERM while its target works on a request that came from
+// another node, and new requests still come for a while. None may be cut;
+// peers move to other instances at once.
+func TestAStopCutsNothing(t *testing.T) {
+	m := newMesh(t, "versand", "archiv", "archiv")
+	Convey("What runs ends, what comes is answered, the process ends in its grace", t, func() {
+		began := make(chan struct{}, 1)
+		for _, v := range m.vms[1:] {
+			v.target.on(func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case began <- struct{}{}:
+					time.Sleep(600 * time.Millisecond)
+				default:
+				}
+				signed(w, r, http.StatusOK, "")
+			})
+		}
+		slow := make(chan reply, 1)
+		go func() {
+			_, got := m.get(m.vms[0], "/read/slow")
+			slow <- got
+		}()
+		<-began
+		stopping := m.vms[1]
+		if len(m.vms[2].target.ran) > 0 {
+			stopping = m.vms[2]
+		}
+		start := time.Now()
+		stopped := make(chan struct{})
+		go func() { stopping.node.Shutdown(context.Background()); close(stopped) }()
+		time.Sleep(20 * time.Millisecond)
+		So(readyCode(stopping), ShouldEqual, http.StatusServiceUnavailable)
+		for range 20 {
+			_, got := m.get(m.vms[0], "/read/x")
+			So(got.code, ShouldEqual, http.StatusOK)
+			_, got = m.get(stopping, "/read/x")
+			So(got.code, ShouldEqual, http.StatusOK)
+		}
+		So((<-slow).code, ShouldEqual, http.StatusOK)
+		<-stopped
+		So(time.Since(start), ShouldBeLessThan, 3*time.Second)
+		So(<-stopping.ended, ShouldBeNil)
+	})
+}
+
+// The store does not tell one node of a change and tells the other. The
+// first hears from the second's answers that it is behind, and catches up.
+func TestANodeThatIsBehindCatchesUp(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("Answers carry the revision, and the snapshot is taken over", t, func() {
+		r, err := directory.NewRoutes(2, directory.Limits{}, testRoutes[:1])
+		So(err, ShouldBeNil)
+		m.vms[1].dir.Apply([]directory.Change{{Routes: r}}, 9)
+		m.get(m.vms[0], "/read/x")
+		time.Sleep(catchUpAfter + 200*time.Millisecond)
+		So(m.vms[0].dir.Revision(), ShouldEqual, 9)
+		So(m.vms[0].dir.View().Routes.Version, ShouldEqual, 2)
+	})
+}
+
+func rid(s string) call.RequestID { return call.RequestID(s) }
--- /dev/null
+++ b/slots/gate_test.go
@@ -0,0 +1,186 @@
+package slots
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/oatpin/oatpin/admit"
+	"github.com/oatpin/oatpin/call"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func ticket(priority int, begun bool, left time.Duration) Ticket {
+	return Ticket{Level: admit.LevelOf(priority, "x"), Begun: begun, Deadline: time.Now().Add(left)}
+}
+
+// enter sends a request to g on a goroutine of its own; what it ended with
+// comes on the channel.
+func enter(ctx context.Context, g *Gate, t Ticket) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := g.Enter(ctx, t)
+		done <- err
+	}()
+	synctest.Wait()
+	return done
+}
+
+// A target with one slot is busy. A browsing read, an approval and a call of
+// a request that already runs come in this order. The call is let in first,
+// since all that ran above it would be wasted, then the approval.
+func TestCallsOfRunningRequestsGoBeforeNewOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The order is: begun calls, then new requests by priority", t, func() {
+			g := NewGate(1)
+			ctx := context.Background()
+			So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
+			read := enter(ctx, g, ticket(2, false, time.Minute))
+			approval := enter(ctx, g, ticket(0, false, time.Minute))
+			begun := enter(ctx, g, ticket(2, true, time.Minute))
+			So(g.Load().Queued, ShouldEqual, 3)
+			g.Leave(time.Millisecond)
+			So(<-begun, ShouldBeNil)
+			g.Leave(time.Millisecond)
+			So(<-approval, ShouldBeNil)
+			g.Leave(time.Millisecond)
+			So(<-read, ShouldBeNil)
+		})
+	})
+}
+
+// A target that is handed more than its slots never answers what it cannot
+// queue. What waits at its node must be refused in time to be tried
+// elsewhere, and at once when it cannot be done at all.
+func TestRequestsThatCannotBeDoneInTimeAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("At once when the wait is foreseen, at its deadline otherwise", t, func() {
+			g := NewGate(1)
+			ctx := context.Background()
+			So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
+			began := time.Now()
+			So(errors.Is(<-enter(ctx, g, ticket(0, false, firstService)), ErrTooLate), ShouldBeTrue)
+			So(time.Since(began), ShouldEqual, 0)
+			late := enter(ctx, g, ticket(0, false, 3*firstService))
+			So(errors.Is(<-late, ErrTooLate), ShouldBeTrue)
+			So(time.Since(began), ShouldEqual, 3*firstService)
+			So(g.Load().Queued, ShouldEqual, 0)
+		})
+		Convey("A caller that leaves gives its place in the queue up", t, func() {
+			g := NewGate(1)
+			ctx, cancel := context.WithCancel(context.Background())
+			So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
+			gone := enter(ctx, g, ticket(0, false, time.Minute))
+			cancel()
+			So(errors.Is(<-gone, context.Canceled), ShouldBeTrue)
+			So(g.Load().Queued, ShouldEqual, 0)
+		})
+		Convey("A leaving target refuses all that waits at once", t, func() {
+			g := NewGate(1)
+			ctx := context.Background()
+			So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
+			waiting := enter(ctx, g, ticket(0, true, time.Minute))
+			g.Close()
+			So(errors.Is(<-waiting, ErrLeaving), ShouldBeTrue)
+			So(errors.Is(<-enter(ctx, g, ticket(0, true, time.Minute)), ErrLeaving), ShouldBeTrue)
+			g.Open()
+			g.Leave(0)
+			So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
+		})
+	})
+}
+
+// A random history of requests that come, end, leave and are given up, of
+// changed limits and closings. At no time may more be at the target than its
+// limit, and every request must end as admitted or refused, once.
+func TestGateKeepsItsLimit(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) {
+			g := NewGate(3)
+			limit, over := 3, 0 // over: still in from before the limit was lowered
+			var waiting []<-chan error
+			var cancels []context.CancelFunc
+			in := 0
+			collect := func() {
+				synctest.Wait()
+				var still []<-chan error
+				for _, w := range waiting {
+					select {
+					case err := <-w:
+						if err == nil {
+							in++
+						}
+					default:
+						still = append(still, w)
+					}
+				}
+				waiting = still
+				if in > max(limit, over) {
+					rt.Fatalf("%d at the target, limit %d", in, limit)
+				}
+			}
+			rt.Repeat(map[string]func(*rapid.T){
+				"come": func(rt *rapid.T) {
+					ctx, cancel := context.WithCancel(context.Background())
+					cancels = append(cancels, cancel)
+					tk := ticket(rapid.IntRange(0, 3).Draw(rt, "priority"), rapid.Bool().Draw(rt, "begun"),
+						time.Duration(rapid.IntRange(1, 500).Draw(rt, "left"))*time.Millisecond)
+					waiting = append(waiting, enter(ctx, g, tk))
+					collect()
+				},
+				"end": func(rt *rapid.T) {
+					if in == 0 {
+						rt.Skip("nothing at the target")
+					}
+					in--
+					g.Leave(time.Duration(rapid.IntRange(0, 100).Draw(rt, "took")) * time.Millisecond)
+					collect()
+				},
+				"leave": func(rt *rapid.T) {
+					if len(cancels) == 0 {
+						rt.Skip("nobody there")
+					}
+					cancels[rapid.IntRange(0, len(cancels)-1).Draw(rt, "who")]()
+					collect()
+				},
+				"limit": func(rt *rapid.T) {
+					over = in
+					limit = rapid.IntRange(1, 5).Draw(rt, "limit")
+					g.SetLimit(limit)
+					collect()
+				},
+				"wait":  func(*rapid.T) { time.Sleep(50 * time.Millisecond); collect() },
+				"close": func(*rapid.T) { g.Close(); collect() },
+				"open":  func(*rapid.T) { g.Open(); collect() },
+				"": func(rt *rapid.T) {
+					if l := g.Load(); l.Busy != in || l.Queued != len(waiting) {
+						rt.Fatalf("gate says %d in and %d waiting, there are %d and %d", l.Busy, l.Queued, in, len(waiting))
+					}
+				},
+			})
+			for _, cancel := range cancels {
+				cancel()
+			}
+			collect()
+			if len(waiting) > 0 {
+				rt.Fatalf("%d requests never ended", len(waiting))
+			}
+		})
+	})
+}
+
+// BenchmarkGate measures a request through a gate with room.
+func BenchmarkGate(b *testing.B) {
+	g := NewGate(100)
+	t := Ticket{Level: call.Level(3), Deadline: time.Now().Add(time.Hour)}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := g.Enter(context.Background(), t); err != nil {
+			b.Fatal(err)
+		}
+		g.Leave(time.Millisecond)
+	}
+}
--- a/timeline/decisions.go
+++ b/timeline/decisions.go
@@ -30,6 +30,7 @@
 		lines   chan *log.Entry
 		out     log.Handler
 		dropped atomic.Int64
+		stop    chan struct{}
 		done    chan struct{}
 		once    sync.Once
 	}
@@ -51,7 +52,7 @@
 
 // NewAsync returns an Async that writes to w.
 func NewAsync(w io.Writer) *Async {
-	a := &Async{lines: make(chan *log.Entry, queueLines), out: jsonlog.New(w), done: make(chan struct{})}
+	a := &Async{lines: make(chan *log.Entry, queueLines), out: jsonlog.New(w), stop: make(chan struct{}), done: make(chan struct{})}
 	go a.write()
 	return a
 }
@@ -71,7 +72,7 @@
 
 // Close writes what waits, for a short time at most.
 func (a *Async) Close() error {
-	a.once.Do(func() { a.lines <- nil })
+	a.once.Do(func() { close(a.stop) })
 	select {
 	case <-a.done:
 	case <-time.After(flushWait):
@@ -81,14 +82,23 @@
 
 func (a *Async) write() {
 	defer close(a.done)
-	for e := range a.lines {
-		if e == nil {
+	for {
+		select {
+		case e := <-a.lines:
+			a.put(e)
+		case <-a.stop:
+			for len(a.lines) > 0 {
+				a.put(<-a.lines)
+			}
 			return
 		}
-		// A line that cannot be written has nowhere else to go.
-		if a.out.HandleLog(e) != nil {
-			a.dropped.Add(1)
-		}
+	}
+}
+
+func (a *Async) put(e *log.Entry) {
+	// A line that cannot be written has nowhere else to go.
+	if a.out.HandleLog(e) != nil {
+		a.dropped.Add(1)
 	}
 }
 
