Judge a service's room by its best instance, and speed by route

Each of four nodes on the way rounded a mean of thresholds down, and one slow instance's low threshold counted for the whole service. Ruled out: real overload, as no instance's queue stood. Now the highest threshold counts, rounded to the nearest; and an instance's speed is measured against the usual time of the same routes, so that slow ones are passed over before their slots are full.

--- a/admit/meter_test.go
+++ b/admit/meter_test.go
@@ -103,7 +103,7 @@
 		b := NewBoard()
 		Convey("It rises from the last one told", t, func() {
 			So(b.Threshold("read"), ShouldEqual, Top)
-			b.Told("read", 20)
+			b.Told("read", "i", 20)
 			So(b.Threshold("read"), ShouldEqual, 20)
 			time.Sleep(1300 * time.Millisecond)
 			So(b.Threshold("read"), ShouldEqual, 32)
@@ -113,6 +113,28 @@
 	})
 }
 
+// One of three instances turns twelve times slower, and its node can admit
+// hardly anything. The others have room, and work goes to them: no request
+// is to be refused. Nor may rounding refuse any, hop after hop.
+func TestOneSlowInstanceRefusesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBoard()
+		Convey("The highest threshold counts, rounded to the nearest", t, func() {
+			for range 10 {
+				b.Told("fetch", "slow", 3)
+				b.Told("fetch", "a", 40)
+				b.Told("fetch", "b", 47)
+			}
+			So(b.Threshold("fetch"), ShouldEqual, 47)
+			b.Told("fetch", "b", 45)
+			So(b.Threshold("fetch"), ShouldEqual, 47)
+			time.Sleep(time.Minute)
+			b.Told("fetch", "slow", 3)
+			So(b.Threshold("fetch"), ShouldEqual, 3)
+		})
+	})
+}
+
 // A read calls an approval lookup, which calls a dispatch lookup, which
 // fetches drafts: the bottleneck is three calls below. Each node passes on
 // the lowest threshold of what its routes call.
@@ -122,8 +144,8 @@
 		Convey("The lowest threshold of the routes called counts", t, func() {
 			b.Called("dispatch", "fetch")
 			b.Called("dispatch", "other")
-			b.Told("fetch", 33)
-			b.Told("other", 60)
+			b.Told("fetch", "i", 33)
+			b.Told("other", "i", 60)
 			So(b.Below("dispatch"), ShouldEqual, 33)
 			So(b.Below("fetch"), ShouldEqual, Top)
 			So(b.Below("unknown"), ShouldEqual, Top)
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,19 +14,29 @@
 	// farCost is what an instance in another data centre costs, in parts of
 	// its slots in use: bytes between data centres are dear, so the near one
 	// is filled first, but not to the brim, where requests begin to wait.
-	farCost = 0.45
+	farCost = 0.35
 	// failCost is what an instance costs whose answers all fail. Half of its
 	// requests failing outweighs a free neighbour elsewhere.
 	failCost = 3.0
 	// slowCost is what an instance costs per time that it is slower than the
-	// fastest one; slowMost bounds it. Instances of a service differ by two
-	// to three times in health, and one that turned slow by five or more.
-	slowCost = 0.12
-	slowMost = 1.2
+	// mean; slowMost bounds it. Instances of a service differ by two to three
+	// times in health; one twice as slow as the mean costs as much as one far
+	// away, since its long requests outlast their route's timeout.
+	slowCost = 0.35
+	slowMost = 2.0
+	// slowForget is the time after which what is known of an instance's
+	// speed counts half, when nothing new is heard.
+	slowForget = 4 * time.Second
 	// jitter spreads the choices of nodes that know the same.
 	jitter = 0.08
 	// smoothing is the weight of the newest outcome in an instance's means.
 	smoothing = 1.0 / 16
+	// usualSmoothing is the same for a route's usual time, which is to be
+	// steadier than any instance's.
+	usualSmoothing = 1.0 / 128
+	// ratioMost bounds one request's part in an instance's mean: one in a
+	// hundred takes five times as long by itself.
+	ratioMost = 6.0
 	// forget is the time after which an instance's failures count half: it
 	// then gets requests again that show whether it has mended.
 	forget = 2 * time.Second
@@ -48,11 +58,13 @@
 		dc callgraph.DC
 
 		mu     sync.Mutex
+		usual  map[string]time.Duration // mean time of each route's requests
 		states map[directory.InstanceID]*state
 	}
 
 	// Outcome is how one request to an instance ended.
 	Outcome struct {
+		Route       string        // by which the request went
 		Took        time.Duration // from sending to the answer; 0 if it says nothing of speed
 		Failed      bool          // the instance ran it and failed, or nothing came back
 		Refused     bool          // the instance itself refused to run it
@@ -64,8 +76,9 @@
 	state struct {
 		outstanding int
 		load        call.Load
-		loadAt      int // outstanding when load was told
-		took        time.Duration
+		loadAt      int     // outstanding when load was told
+		slow        float64 // mean time against the usual of the same routes; 0 if unknown
+		slowAt      time.Time
 		failing     float64 // 0 to 1
 		failedAt    time.Time
 		avoidUntil  time.Time
@@ -74,7 +87,7 @@
 
 // New returns a Balancer for a node in a data centre.
 func New(dc callgraph.DC) *Balancer {
-	return &Balancer{dc: dc, states: map[directory.InstanceID]*state{}}
+	return &Balancer{dc: dc, usual: map[string]time.Duration{}, states: map[directory.InstanceID]*state{}}
 }
 
 // Pick chooses among the instances of a service, but for those in tried, and
@@ -84,7 +97,6 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	fastest := b.fastest(instances)
 	best, avoided := -1, -1
 	var bestCost, avoidedCost float64
 	for i := range instances {
@@ -92,7 +104,7 @@
 			continue
 		}
 		s := b.state(instances[i].ID)
-		cost := b.cost(&instances[i], s, fastest, now)
+		cost := b.cost(&instances[i], s, now)
 		if now.Before(s.avoidUntil) {
 			if avoided < 0 || cost < avoidedCost {
 				avoided, avoidedCost = i, cost
@@ -139,13 +151,26 @@
 	}
 	s.failing += (bad - s.failing) * smoothing
 	if o.Took > 0 {
-		if s.took == 0 {
-			s.took = o.Took
-		}
-		s.took += time.Duration(float64(o.Took-s.took) * smoothing)
+		b.noteSpeed(s, o, now)
 	}
 }
 
+// noteSpeed compares a request's time with the usual of its route: the mean
+// time itself would tell more of which requests an instance happened to get.
+func (b *Balancer) noteSpeed(s *state, o Outcome, now time.Time) {
+	usual, ok := b.usual[o.Route]
+	if !ok {
+		usual = o.Took
+	}
+	ratio := min(float64(o.Took)/float64(usual), ratioMost)
+	b.usual[o.Route] = usual + time.Duration(float64(o.Took-usual)*usualSmoothing)
+	if s.slow == 0 {
+		s.slow = 1
+	}
+	s.slow += (ratio - s.slow) * smoothing
+	s.slowAt = now
+}
+
 // Keep forgets the instances that a view no longer lists.
 func (b *Balancer) Keep(v *directory.View) {
 	b.mu.Lock()
@@ -166,20 +191,9 @@
 	return s
 }
 
-// fastest returns the shortest mean time of the instances that have one.
-func (b *Balancer) fastest(instances []directory.Instance) time.Duration {
-	var t time.Duration
-	for i := range instances {
-		if s := b.states[instances[i].ID]; s != nil && s.took > 0 && (t == 0 || s.took < t) {
-			t = s.took
-		}
-	}
-	return t
-}
-
 // cost is how much is against an instance, mostly the part of its slots that
 // is in use; less is better.
-func (b *Balancer) cost(in *directory.Instance, s *state, fastest time.Duration, now time.Time) float64 {
+func (b *Balancer) cost(in *directory.Instance, s *state, now time.Time) float64 {
 	limit := s.load.Limit
 	if limit == 0 {
 		limit = max(in.Slots, 1)
@@ -196,8 +210,9 @@
 		age := float64(now.Sub(s.failedAt)) / float64(forget)
 		c += failCost * s.failing / (1 + age)
 	}
-	if fastest > 0 && s.took > fastest {
-		c += min(slowMost, slowCost*(float64(s.took)/float64(fastest)-1))
+	if s.slow > 0 {
+		age := float64(now.Sub(s.slowAt)) / float64(slowForget)
+		c += min(slowMost, slowCost*(s.slow-1)/(1+age))
 	}
 	return c + jitter*rand.Float64()
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -70,6 +70,39 @@
 	})
 }
 
+// An instance turns five times slower while its slots are still free. Its
+// requests would come too late; they are to go to the other data centre. The
+// routes mix short and long requests, which says nothing of speed.
+func TestASlowInstanceGetsFewRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Speed is told apart from the mix of requests", t, func() {
+			b := New("nord")
+			slow := time.Duration(1)
+			run := func(n int) int {
+				near := 0
+				for i := range n {
+					in, _ := b.Pick(instances, nil)
+					o := Outcome{Route: "short", Took: 15 * time.Millisecond, Load: loadOf(10)}
+					if i%5 == 0 {
+						o.Route, o.Took = "long", 500*time.Millisecond
+					}
+					if in.ID == "near" {
+						near++
+						o.Took *= slow
+					}
+					b.Done(in.ID, o)
+					time.Sleep(time.Millisecond)
+				}
+				return near
+			}
+			So(run(300), ShouldEqual, 300)
+			slow = 5
+			run(60)
+			So(run(300), ShouldBeLessThan, 100)
+		})
+	})
+}
+
 // A node cannot be reached. Each request that tries it first loses the time
 // of a dial; it is to be tried again once in a while only, and it must still
 // be tried when it is the only one.
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -65,7 +65,7 @@
 func (n *Node) try(ctx context.Context, q *request, in directory.Instance, t *tries) call.Answer {
 	sent := time.Now()
 	a, reachable := n.send(ctx, q, in)
-	o := balance.Outcome{Unreachable: !reachable, Leaving: a.Leaving, Load: a.Load}
+	o := balance.Outcome{Route: q.route.Name, Unreachable: !reachable, Leaving: a.Leaving, Load: a.Load}
 	switch {
 	case !reachable:
 	case a.Status == call.NotRun:
@@ -86,7 +86,7 @@
 	}
 	n.balancer.Done(in.ID, o)
 	if a.Load != nil {
-		n.board.Told(q.route.Name, a.Load.Admit)
+		n.board.Told(q.route.Name, string(in.ID), a.Load.Admit)
 	}
 	if a.Status != call.OK {
 		n.note.Note("try_ended", func() log.Fields {
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -218,18 +218,17 @@
 			_, begun := v.node.place(rid(id+".c1"), &testRoutes[2])
 			level, _ := v.node.place(rid(id+".c1"), &testRoutes[2])
 			_, other := v.node.place(rid("x.c1"), &testRoutes[2])
-			if !begun || other || level != admit.LevelOf(2, rid(id)) {
+			v.node.board.Told("lookup", "i", 0)
+			if !begun || other || level != admit.LevelOf(2, rid(id)) || v.node.board.Below("read") != 0 {
 				signed(w, r, http.StatusInternalServerError, "not found")
 				return
 			}
-			v.node.board.Told("lookup", 0)
 			_, got := m.send(context.Background(), v, http.MethodGet, "/lookup/x", "", map[string]string{"Request-Id": id + ".c1"})
 			signed(w, r, got.code, "")
 		})
 		id, got := m.get(m.vms[0], "/read/x")
 		So(got.code, ShouldEqual, http.StatusOK)
 		So(m.vms[1].target.runs(id+".c1"), ShouldEqual, 1)
-		So(m.vms[0].node.board.Below("read"), ShouldBeLessThan, admit.Top)
 	})
 }
 
@@ -239,7 +238,7 @@
 func TestOverloadRefusesAtTheEntry(t *testing.T) {
 	m := newMesh(t, "versand", "archiv")
 	Convey("503 at once; the target sees nothing, approvals pass", t, func() {
-		m.vms[0].node.board.Told("read", 10)
+		m.vms[0].node.board.Told("read", "i", 10)
 		id, got := m.get(m.vms[0], "/read/x")
 		So(got.code, ShouldEqual, http.StatusServiceUnavailable)
 		So(m.vms[1].target.runs(id), ShouldEqual, 0)
