Weigh thresholds by answers, bound a new request's wait, count inherited repeats

Thresholds count by answers again (rounded to the nearest), speed costs less, a new request waits a quarter of its target latency at most, and calls of repeated requests take room from the repeats of the service they go to.

--- a/admit/board.go
+++ b/admit/board.go
@@ -17,51 +17,46 @@
 	regain = 12.0
 	// newestTold is the weight of the newest answer: thresholds move by a
 	// part or two with chance.
-	newestTold = 0.2
-	// toldKept is how long an instance's threshold counts that is not told
-	// again; by then it has risen by more than half of all levels in use.
+	newestTold = 0.1
+	// toldKept is how long a threshold counts at all that is not told again.
 	toldKept = 3 * time.Second
 	// callsKept is how long a route counts as called after it last was.
 	callsKept = 30 * time.Second
 )
 
 type (
-	// Board keeps, for each route, the thresholds that the answers of each
-	// instance told, and which routes a route's requests call. It is safe for
-	// concurrent use.
+	// Board keeps, for each route, the threshold that answers told, and which
+	// routes a route's requests call. It is safe for concurrent use.
 	Board struct {
 		mu     sync.Mutex
 		routes map[string]*entry
 	}
 
 	entry struct {
-		told  map[string]*threshold // by instance
-		calls map[string]time.Time  // routes called, and when last
-	}
-
-	threshold struct {
 		level float64
-		at    time.Time
+		at    time.Time            // when last told; zero for never
+		calls map[string]time.Time // routes called, and when last
 	}
 )
 
 // NewBoard returns an empty Board.
 func NewBoard() *Board { return &Board{routes: map[string]*entry{}} }
 
-// Told notes the threshold that came with an instance's answer on a route.
-func (b *Board) Told(route, instance string, l call.Level) {
+// Told notes the threshold that came with an answer on a route. Each answer
+// weighs the same, so an instance counts by what it gets done: one that
+// turned slow and admits hardly anything counts little, and a fast one with
+// less to do than it could does not hide that the others are full.
+func (b *Board) Told(route string, l call.Level) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.entry(route)
 	now := time.Now()
 	level := float64(min(l, Top))
-	t := e.told[instance]
-	if t == nil || now.Sub(t.at) > toldKept {
-		e.told[instance] = &threshold{level: level, at: now}
-		return
+	if now.Sub(e.at) < toldKept {
+		old := e.now(now)
+		level = old + (level-old)*newestTold
 	}
-	old := t.now(now)
-	t.level, t.at = old+(level-old)*newestTold, now
+	e.level, e.at = level, now
 }
 
 // Called notes that a request on a route made a call on another.
@@ -107,37 +102,23 @@
 func (b *Board) entry(route string) *entry {
 	e := b.routes[route]
 	if e == nil {
-		e = &entry{told: map[string]*threshold{}, calls: map[string]time.Time{}}
+		e = &entry{calls: map[string]time.Time{}}
 		b.routes[route] = e
 	}
 	return e
 }
 
-// threshold returns the highest threshold of the instances that told one
-// lately: work goes where there is room, so requests are refused only when no
-// instance has any. One that turned slow, or is cut off, does not count while
-// others do its work.
-func (e *entry) threshold(now time.Time) call.Level {
-	highest, any := 0.0, false
-	for instance, t := range e.told {
-		if now.Sub(t.at) > toldKept {
-			delete(e.told, instance)
-			continue
-		}
-		highest, any = max(highest, t.now(now)), true
-	}
-	if !any {
-		return Top
-	}
-	// Rounded to the nearest, since each node on the way does so: rounding
-	// down would refuse a part more at each.
-	return call.Level(highest + 0.5)
-}
+// threshold returns the last level admitted, rounded to the nearest: each
+// node on the way does so, and rounding down would refuse a part more at each.
+func (e *entry) threshold(now time.Time) call.Level { return call.Level(e.now(now) + 0.5) }
 
 // now returns the threshold as it stands, raised by the time nobody told it.
-func (t *threshold) now(now time.Time) float64 {
-	if old := now.Sub(t.at) - fresh; old > 0 {
-		return min(t.level+regain*old.Seconds(), float64(Top))
+func (e *entry) now(now time.Time) float64 {
+	if e.at.IsZero() {
+		return float64(Top)
+	}
+	if old := now.Sub(e.at) - fresh; old > 0 {
+		return min(e.level+regain*old.Seconds(), float64(Top))
 	}
-	return t.level
+	return e.level
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,9 +20,9 @@
 	failCost = 3.0
 	// slowCost is what an instance costs per time that it is slower than the
 	// mean; slowMost bounds it. Instances of a service differ by two to three
-	// times in health; one twice as slow as the mean costs as much as one far
-	// away, since its long requests outlast their route's timeout.
-	slowCost = 0.35
+	// times in health. More than this would leave the slow ones half empty
+	// while requests wait at the fast ones.
+	slowCost = 0.2
 	slowMost = 2.0
 	// slowForget is the time after which what is known of an instance's
 	// speed counts half, when nothing new is heard.
--- a/budget/window.go
+++ b/budget/window.go
@@ -45,6 +45,15 @@
 	w.now().firsts++
 }
 
+// Inherit counts a request that a repeated request makes: it is a repeat too,
+// but refusing it would waste what has run. It takes room from repeats of
+// this service's own.
+func (w *Window) Inherit() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.now().repeats++
+}
+
 // Repeat counts one repeat if it is allowed and reports whether it is.
 func (w *Window) Repeat() bool {
 	w.mu.Lock()
--- /dev/null
+++ b/budget/window_test.go
@@ -0,0 +1,52 @@
+package budget
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// A service's instances fail in a row, and every request wants a second one.
+// Repeats must stay within the ratio of what was sent there in the window,
+// however long that goes on, and calls of repeated requests count too.
+func TestRepeatsStayWithinTheirRatio(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("In every span of the window's length", t, func() {
+			w := NewWindow(WindowConfig{Span: 10 * time.Second, Ratio: 0.1, Slack: 2})
+			var at []time.Time
+			for i := range 3000 {
+				w.First()
+				if i%50 == 0 {
+					w.Inherit()
+					at = append(at, time.Now())
+				}
+				if w.Repeat() {
+					at = append(at, time.Now())
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			for i, from := range at {
+				n := 0
+				for _, t := range at[i:] {
+					if t.Sub(from) < 9*time.Second {
+						n++
+					}
+				}
+				So(n, ShouldBeLessThanOrEqualTo, 103)
+			}
+			So(len(at), ShouldBeGreaterThan, 250)
+		})
+		Convey("After a pause only the slack is left", t, func() {
+			w := NewWindow(WindowConfig{Span: 10 * time.Second, Ratio: 0.1, Slack: 2})
+			for range 100 {
+				w.First()
+			}
+			time.Sleep(11 * time.Second)
+			So(w.Repeat(), ShouldBeTrue)
+			So(w.Repeat(), ShouldBeTrue)
+			So(w.Repeat(), ShouldBeFalse)
+		})
+	})
+}
--- a/call/http.go
+++ b/call/http.go
@@ -1,5 +1,9 @@
 package call
 
+import (
+	"time"
+)
+
 type (
 	// Headers names the headers by which callers and targets exchange a
 	// request's metadata, for targets that do not speak oatpin's own.
@@ -36,7 +40,11 @@
 		Caller     string // service of the VM at which the request began
 		Level      Level
 		Begun      bool // made by a request that already runs
+		Repeat     bool // sent to a second instance, or called by such a request
 		Idempotent bool
+		// Patience is how long a new request may wait for its turn at a
+		// target's node before it is refused.
+		Patience time.Duration
 	}
 
 	// HTTPAnswer is what a target answered.
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -26,6 +26,10 @@
 	// comeBackLeaving is when to come back to a node that is stopping; the
 	// caller's next request goes to another one by then.
 	comeBackLeaving = time.Second
+	// patienceShare is the part of a route's target latency that a new request
+	// may wait for its turn at one target: half of it is its usual service
+	// time, and another target, or coming back later, takes the rest.
+	patienceShare = 4
 	// bodyDefault bounds one body until an operator's limit is known.
 	bodyDefault = 1 << 20
 )
@@ -92,9 +96,9 @@
 		return nil, &refusal{code: http.StatusBadRequest, why: err.Error()}
 	}
 	id := call.RequestID(r.Header.Get(n.cfg.Headers.RequestID))
-	level, begun := n.place(id, rt)
-	if !begun {
-		if no := n.admitNew(rt, level, left); no != nil {
+	from := n.place(id, rt)
+	if !from.begun {
+		if no := n.admitNew(rt, from.level, left); no != nil {
 			return nil, no
 		}
 	}
@@ -108,18 +112,28 @@
 	q.Body = body
 	q.Operation = rt.Name
 	q.HTTP = &call.HTTPRequest{Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: n.fields(r.Header),
-		Caller: n.cfg.Service, Level: level, Begun: begun, Idempotent: rt.Idempotent}
+		Caller: n.cfg.Service, Level: from.level, Begun: from.begun, Repeat: from.repeat, Idempotent: rt.Idempotent}
+	if !from.begun {
+		q.HTTP.Patience = rt.TargetLatency / patienceShare
+	}
 	return q, nil
 }
 
-// place returns a request's level, and whether it is a call of a request
-// that already runs; such a call has the level of that request.
-func (n *Node) place(id call.RequestID, rt *directory.Route) (level call.Level, begun bool) {
+// origin says what a request comes from.
+type origin struct {
+	level  call.Level
+	begun  bool // a call of a request that runs at the local target
+	repeat bool // and that request is a repeat
+}
+
+// place returns a request's origin; a call has the level of the request that
+// it is made for.
+func (n *Node) place(id call.RequestID, rt *directory.Route) origin {
 	if p, ok := n.running.parent(id); ok {
 		n.board.Called(p.route, rt.Name)
-		return p.level, true
+		return origin{level: p.level, begun: true, repeat: p.repeat}
 	}
-	return admit.LevelOf(rt.Priority, id), false
+	return origin{level: admit.LevelOf(rt.Priority, id)}
 }
 
 // admitNew refuses a new request that the node will not see through, or that
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -37,7 +37,11 @@
 // final answer. ctx ends at the request's deadline; left ends when the
 // caller has gone.
 func (n *Node) forward(ctx, left context.Context, q *request) call.Answer {
-	n.window(q.Service).First()
+	if q.HTTP.Repeat {
+		n.window(q.Service).Inherit()
+	} else {
+		n.window(q.Service).First()
+	}
 	var t tries
 	last := call.Refuse(q.Request, "no instance of "+q.Service, comeBackNone)
 	for range maxPicks {
@@ -86,7 +90,7 @@
 	}
 	n.balancer.Done(in.ID, o)
 	if a.Load != nil {
-		n.board.Told(q.route.Name, string(in.ID), a.Load.Admit)
+		n.board.Told(q.route.Name, a.Load.Admit)
 	}
 	if a.Status != call.OK {
 		n.note.Note("try_ended", func() log.Fields {
@@ -154,5 +158,6 @@
 		return false
 	}
 	n.stats.repeated(q.Service)
+	q.HTTP.Repeat = true
 	return true
 }
--- a/sidecar/running.go
+++ b/sidecar/running.go
@@ -19,8 +19,9 @@
 
 	// run is one request at the local target.
 	run struct {
-		route string
-		level call.Level
+		route  string
+		level  call.Level
+		repeat bool
 	}
 )
 
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -53,13 +53,13 @@
 	}
 	deadline, _ := ctx.Deadline()
 	n.meter.Arrive(r.HTTP.Level, n.work.Mean(r.Operation, firstWork), n.gate.Waiting())
-	waited, err := n.gate.Enter(ctx, slots.Ticket{Level: r.HTTP.Level, Begun: r.HTTP.Begun, Deadline: deadline})
+	waited, err := n.gate.Enter(ctx, slots.Ticket{Level: r.HTTP.Level, Begun: r.HTTP.Begun, Deadline: deadline, Patience: r.HTTP.Patience})
 	if err != nil {
 		a := call.Refuse(r, "target: "+err.Error()+" after "+waited.String(), 0)
 		a.Leaving = errors.Is(err, slots.ErrLeaving)
 		return n.withLoad(r, a)
 	}
-	n.running.add(r.ID, run{route: r.Operation, level: r.HTTP.Level})
+	n.running.add(r.ID, run{route: r.Operation, level: r.HTTP.Level, repeat: r.HTTP.Repeat})
 	began := time.Now()
 	a := n.callTarget(ctx, r, deadline)
 	took := time.Since(began)
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -34,6 +34,8 @@
 		Level    call.Level
 		Begun    bool // a call of a request that already runs
 		Deadline time.Time
+		// Patience is how long it may wait at most; 0 for its deadline.
+		Patience time.Duration
 	}
 
 	// Gate lets at most Limit requests at a time through to a target. A
@@ -83,7 +85,8 @@
 		return 0, nil
 	}
 	now := time.Now()
-	if now.Add(g.expectedWait(t) + g.mean).After(t.Deadline) {
+	expected := g.expectedWait(t)
+	if now.Add(expected+g.mean).After(t.Deadline) || (t.Patience > 0 && expected > t.Patience) {
 		g.mu.Unlock()
 		return 0, ErrTooLate
 	}
@@ -94,7 +97,13 @@
 }
 
 func (g *Gate) wait(ctx context.Context, w *waiter) (time.Duration, error) {
-	late := time.NewTimer(time.Until(w.t.Deadline))
+	until := time.Until(w.t.Deadline)
+	if w.t.Patience > 0 {
+		// Calls that come later go before a new request, so its wait can be
+		// longer than foreseen.
+		until = min(until, w.t.Patience)
+	}
+	late := time.NewTimer(until)
 	defer late.Stop()
 	var err error
 	select {
--- a/slots/gate_test.go
+++ b/slots/gate_test.go
@@ -69,6 +69,20 @@
 			So(time.Since(began), ShouldEqual, 3*firstService)
 			So(g.Load().Queued, ShouldEqual, 0)
 		})
+		Convey("A new request is refused when its patience ends, long before its deadline", t, func() {
+			g := NewGate(1)
+			ctx := context.Background()
+			So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
+			began := time.Now()
+			tk := ticket(0, false, time.Minute)
+			tk.Patience = 2 * firstService
+			waiting := enter(ctx, g, tk)
+			So(errors.Is(<-waiting, ErrTooLate), ShouldBeTrue)
+			So(time.Since(began), ShouldEqual, 2*firstService)
+			tk.Patience = firstService / 2
+			So(errors.Is(<-enter(ctx, g, tk), ErrTooLate), ShouldBeTrue)
+			So(time.Since(began), ShouldEqual, 2*firstService)
+		})
 		Convey("A caller that leaves gives its place in the queue up", t, func() {
 			g := NewGate(1)
 			ctx, cancel := context.WithCancel(context.Background())
