--- a/budget/window.go
+++ b/budget/window.go
@@ -59,6 +59,21 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.now()
+	if !w.room(now) {
+		return false
+	}
+	now.repeats++
+	return true
+}
+
+// Room reports whether a repeat would be allowed now.
+func (w *Window) Room() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.room(w.now())
+}
+
+func (w *Window) room(now *part) bool {
 	var firsts, repeats float64
 	for _, p := range w.parts {
 		if now.n-p.n < windowParts {
@@ -66,11 +81,7 @@
 			repeats += p.repeats
 		}
 	}
-	if repeats+1 > w.cfg.Ratio*firsts+w.cfg.Slack {
-		return false
-	}
-	now.repeats++
-	return true
+	return repeats+1 <= w.cfg.Ratio*firsts+w.cfg.Slack
 }
 
 // now returns the part for this moment, emptied if it held an earlier one.
--- a/call/call.go
+++ b/call/call.go
@@ -49,6 +49,9 @@
 	// HTTP is set for a request that goes by a route of host and path; it
 	// has no Operation.
 	HTTP *HTTPRequest `msgpack:"http,omitempty"`
+	// Yields says that the sender would rather end the call as unknown and
+	// make it elsewhere than wait for a peer that has gone silent.
+	Yields bool `msgpack:"-"`
 }
 
 // Answer is what comes back for a Request.
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -22,6 +22,10 @@
 	// node beside its instance: that node knows whether the request has run,
 	// and its answer is to be here before this node must say it cannot know.
 	peerMargin = 15 * time.Millisecond
+	// dialPatience is how long a request waits for a connection to a peer; it
+	// is opened all the same, for the next. Opening one takes a round trip
+	// of a few milliseconds, and a peer that is cut off would take it all.
+	dialPatience = 250 * time.Millisecond
 	// leastTime is what must be left for another try to be worth sending.
 	leastTime = 20 * time.Millisecond
 )
@@ -68,7 +72,7 @@
 // try sends the request to one instance and notes how that went.
 func (n *Node) try(ctx context.Context, q *request, in directory.Instance, t *tries) call.Answer {
 	sent := time.Now()
-	a, reachable := n.send(ctx, q, in)
+	a, reachable := n.send(ctx, q, in, t)
 	o := balance.Outcome{Route: q.route.Name, Unreachable: !reachable, Leaving: a.Leaving, Load: a.Load}
 	switch {
 	case !reachable:
@@ -107,9 +111,10 @@
 
 // send hands the request to the node beside an instance; reachable is false
 // if that could not be done, and then nothing of it ran.
-func (n *Node) send(ctx context.Context, q *request, in directory.Instance) (a call.Answer, reachable bool) {
+func (n *Node) send(ctx context.Context, q *request, in directory.Instance, t *tries) (a call.Answer, reachable bool) {
 	r := q.Request
 	r.To = string(in.ID)
+	r.Yields = q.route.Idempotent && len(t.asked) < q.route.MaxInstances && n.window(q.Service).Room()
 	r.Remaining = time.Until(q.deadline) - peerMargin
 	if in.Addr == n.cfg.Target {
 		return n.serveLocal(ctx, r), true
@@ -122,7 +127,9 @@
 	// A connection can close between Get and Call, before anything is
 	// written; the second Get dials anew.
 	for range 2 {
-		conn, err := n.peers.Get(ctx, peer)
+		dctx, cancel := context.WithTimeout(ctx, dialPatience)
+		conn, err := n.peers.Get(dctx, peer)
+		cancel()
 		if err != nil {
 			return call.Refuse(r, "node unreachable: "+err.Error(), 0), false
 		}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -29,7 +29,8 @@
 	out  *frameWriter
 	done chan struct{}
 
-	heard atomic.Bool // a frame was read since the last Check
+	heard     atomic.Bool // a frame was read since the last Check
+	suspected atomic.Bool // the peer does not answer a ping
 
 	mu      sync.Mutex // guards the fields below
 	next    Stream
@@ -84,7 +85,7 @@
 	}
 	c.next++
 	s := c.next
-	c.pending[s] = waiter{id: r.ID, ch: ch}
+	c.pending[s] = waiter{id: r.ID, ch: ch, yields: r.Yields}
 	c.mu.Unlock()
 	if err := c.out.write(Frame{Kind: KindRequest, Stream: s, Request: &r, Config: version, From: c.cfg.From}); err != nil {
 		c.forget(s)
@@ -94,7 +95,7 @@
 	select {
 	case a, ok := <-ch:
 		if !ok {
-			return lost(r, "connection lost after sending"), nil
+			return lost(r, "connection lost or silent after sending"), nil
 		}
 		return a, nil
 	case <-ctx.Done():
@@ -185,6 +186,7 @@
 
 // waiter is one call waiting for its answer.
 type waiter struct {
-	id call.RequestID
-	ch chan call.Answer
+	id     call.RequestID
+	ch     chan call.Answer
+	yields bool
 }
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -61,8 +61,8 @@
 	return &Pool{cfg: cfg, conns: map[string]*Conn{}, dials: map[string]*dial{}, failed: map[string]bool{}}
 }
 
-// Get returns the open connection to a peer, dialling one if
-// there is none or the last one closed. Calls that come together share one
+// Get returns the open connection to a peer, dialling one if there is none or
+// the last one closed; a silent peer is ErrSuspect. Calls that come together share one
 // dial: a hundred at once would only hold up a peer that is coming back. If
 // the dial before it failed, only the call that began this one waits for it;
 // a peer behind a cut would otherwise hold every call for dialTimeout, again
@@ -72,6 +72,9 @@
 	p.mu.Lock()
 	if c := p.conns[addr]; c != nil && c.Err() == nil {
 		p.mu.Unlock()
+		if c.Suspect() {
+			return nil, ErrSuspect
+		}
 		return c, nil
 	}
 	d := p.dials[addr]
--- a/wire/silence_test.go
+++ b/wire/silence_test.go
@@ -71,6 +71,54 @@
 	})
 }
 
+// The way to a peer's data centre is cut while calls wait. A read can still
+// be made at another instance if that is known soon; an action has to wait,
+// since it may be running, and must not be ended as long as it may be
+// answered. When the cut heals, the connection is used again.
+func TestASilentPeerIsSuspectedBeforeItIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, far := pipe()
+		defer far.Close()
+		frames := make(chan Frame, 10)
+		go func() {
+			dec := msgpack.NewDecoder(bufio.NewReader(far))
+			for {
+				var f Frame
+				if dec.Decode(&f) != nil {
+					close(frames)
+					return
+				}
+				frames <- f
+			}
+		}()
+		read, action := make(chan call.Answer, 1), make(chan call.Answer, 1)
+		send := func(id call.RequestID, yields bool, ch chan call.Answer) Frame {
+			go func() {
+				a, _ := c.Call(context.Background(), call.Request{ID: id, Yields: yields}, 1)
+				ch <- a
+			}()
+			return <-frames
+		}
+		start := time.Now()
+		send("read", true, read)
+		held := send("action", false, action)
+		Convey("The read ends within SuspectBound, the action when it is answered", t, func() {
+			for !c.Suspect() {
+				time.Sleep(CheckEvery)
+				c.Check()
+			}
+			So(time.Since(start), ShouldBeLessThanOrEqualTo, SuspectBound)
+			So((<-read).Status, ShouldEqual, call.Unknown)
+			So(c.Err(), ShouldBeNil)
+			So(msgpack.NewEncoder(far).Encode(&Frame{Kind: KindAnswer, Stream: held.Stream, Answer: &call.Answer{ID: "action", Status: call.OK}}), ShouldBeNil)
+			So((<-action).Status, ShouldEqual, call.OK)
+			c.Check()
+			So(c.Suspect(), ShouldBeFalse)
+		})
+		c.Close()
+	})
+}
+
 // The same happens to a connection that carries no call at the time.
 func TestSilentIdleConnectionIsClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -99,7 +147,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 		defer cancel()
 		go slow.Call(ctx, call.Request{ID: "r"}, 1)
-		for range 60 {
+		for range int(30 * time.Second / CheckEvery) {
 			time.Sleep(CheckEvery)
 			slow.Check()
 			idle.Check()
@@ -109,6 +157,7 @@
 			So(slow.Err(), ShouldBeNil)
 			So(idle.Err(), ShouldBeNil)
 			So(slowPings, ShouldBeGreaterThan, 0)
+			So(slowPings, ShouldBeLessThanOrEqualTo, 20)
 			So(idlePings, ShouldBeLessThanOrEqualTo, 6)
 		})
 		slow.Close()
@@ -154,6 +203,6 @@
 		So(silent, ShouldBeFalse)
 		_, silent = s.next(true, true) // the pong has been read by now
 		So(silent, ShouldBeFalse)
-		So(s, ShouldResemble, silence{})
+		So(s, ShouldResemble, silence{answered: true})
 	})
 }
