--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -89,8 +90,8 @@
 			o.Took = time.Since(sent)
 		}
 	}
-	if ctx.Err() != nil && a.HTTP == nil {
-		o.Failed = false // its caller left or its time was up, which is not the instance's fault alone
+	if a.Status == call.Unknown && !n.blames(ctx, q, time.Since(sent)) {
+		o.Failed = false
 	}
 	n.balancer.Done(in.ID, o)
 	if a.Load != nil {
@@ -109,6 +110,18 @@
 	return a
 }
 
+// blames reports whether a try that got no answer speaks against its
+// instance: not when the caller left, and not when its time was up before
+// requests of its route are usually done. An instance whose answers get lost
+// shows only in requests that wait for them until their time is up.
+func (n *Node) blames(ctx context.Context, q *request, waited time.Duration) bool {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return false
+	}
+	timedOut := ctx.Err() != nil || time.Until(q.deadline) <= 2*peerMargin
+	return !timedOut || waited >= 2*n.usual.Mean(q.route.Name, 0)
+}
+
 // send hands the request to the node beside an instance; reachable is false
 // if that could not be done, and then nothing of it ran.
 func (n *Node) send(ctx context.Context, q *request, in directory.Instance, t *tries) (a call.Answer, reachable bool) {
