Refuse no rank that was not seen yet, and leave room for queues

A meter that had seen approvals only capped its threshold at the end of their rank, and callers took that for a refusal of all reads. Caps are the callers' own now, and a threshold that refuses nothing is told as such. Besides: slots may be 98 of 100 in use with 30 ms of work waiting, a new request may wait half the time it can spare, and a route that no instance can serve is refused at its entry.

--- a/admit/board.go
+++ b/admit/board.go
@@ -20,6 +20,8 @@
 	newestTold = 0.1
 	// toldKept is how long a threshold counts at all that is not told again.
 	toldKept = 3 * time.Second
+	// roundUp makes a truncation round to the nearest.
+	roundUp = 0.5
 	// callsKept is how long a route counts as called after it last was.
 	callsKept = 30 * time.Second
 )
@@ -29,6 +31,7 @@
 	// routes a route's requests call. It is safe for concurrent use.
 	Board struct {
 		mu     sync.Mutex
+		ceil   float64 // last level of the lowest rank seen
 		routes map[string]*entry
 	}
 
@@ -40,7 +43,25 @@
 )
 
 // NewBoard returns an empty Board.
-func NewBoard() *Board { return &Board{routes: map[string]*entry{}} }
+func NewBoard() *Board { return &Board{ceil: parts - 1, routes: map[string]*entry{}} }
+
+// See notes a request's level. Thresholds are kept only up to the end of the
+// lowest rank in use: one beyond it refuses nothing, and a mean that came down
+// from far beyond would take long to refuse anything.
+func (b *Board) See(l call.Level) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ceil := float64((RankOf(l)+1)*parts - 1)
+	if ceil <= b.ceil {
+		return
+	}
+	for _, e := range b.routes {
+		if e.level >= b.ceil-roundUp {
+			e.level = ceil
+		}
+	}
+	b.ceil = ceil
+}
 
 // Told notes the threshold that came with an answer on a route. Each answer
 // weighs the same, so an instance counts by what it gets done: one that
@@ -51,9 +72,9 @@
 	defer b.mu.Unlock()
 	e := b.entry(route)
 	now := time.Now()
-	level := float64(min(l, Top))
+	level := min(float64(l), b.ceil)
 	if now.Sub(e.at) < toldKept {
-		old := e.now(now)
+		old := b.now(e, now)
 		level = old + (level-old)*newestTold
 	}
 	e.level, e.at = level, now
@@ -71,7 +92,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if e := b.routes[route]; e != nil {
-		return e.threshold(time.Now())
+		return b.threshold(e, time.Now())
 	}
 	return Top
 }
@@ -93,7 +114,7 @@
 			continue
 		}
 		if c := b.routes[callee]; c != nil {
-			lowest = min(lowest, c.threshold(now))
+			lowest = min(lowest, b.threshold(c, now))
 		}
 	}
 	return lowest
@@ -102,7 +123,7 @@
 func (b *Board) entry(route string) *entry {
 	e := b.routes[route]
 	if e == nil {
-		e = &entry{calls: map[string]time.Time{}}
+		e = &entry{level: b.ceil, calls: map[string]time.Time{}}
 		b.routes[route] = e
 	}
 	return e
@@ -110,15 +131,22 @@
 
 // threshold returns the last level admitted, rounded to the nearest: each
 // node on the way does so, and rounding down would refuse a part more at each.
-func (e *entry) threshold(now time.Time) call.Level { return call.Level(e.now(now) + 0.5) }
+// One that refuses nothing is Top, for nodes that see other ranks.
+func (b *Board) threshold(e *entry, now time.Time) call.Level {
+	l := b.now(e, now) + roundUp
+	if l >= b.ceil {
+		return Top
+	}
+	return call.Level(l)
+}
 
-// now returns the threshold as it stands, raised by the time nobody told it.
-func (e *entry) now(now time.Time) float64 {
+// now returns a threshold as it stands, raised by the time nobody told it.
+func (b *Board) now(e *entry, now time.Time) float64 {
 	if e.at.IsZero() {
-		return float64(Top)
+		return b.ceil
 	}
 	if old := now.Sub(e.at) - fresh; old > 0 {
-		return min(e.level+regain*old.Seconds(), float64(Top))
+		return min(e.level+regain*old.Seconds(), b.ceil)
 	}
 	return e.level
 }
--- a/admit/meter.go
+++ b/admit/meter.go
@@ -16,9 +16,12 @@
 	// shows within three windows, and chance moves the mean by a few percent.
 	newest = 0.35
 	// targetUse is the part of a target's slots that admitted work may fill.
-	// At sixty slots, waiting stays in the milliseconds up to there.
-	targetUse = 0.93
-	// drainTime is within which the queue there is now is to be worked off.
+	// At sixty slots, requests wait for tens of milliseconds there, well
+	// within their callers' times, and no slot stands empty.
+	targetUse = 0.98
+	// queueAllowed is the time for which the slots may have work waiting.
+	queueAllowed = 30 * time.Millisecond
+	// drainTime is within which a queue beyond that is to be worked off.
 	drainTime = time.Second
 	// maxRaise is the most parts by which a threshold rises in a window;
 	// from one part the step doubles, so that a whole rank is back within
@@ -95,7 +98,8 @@
 }
 
 func (m *Meter) adjust() {
-	room := m.slots*targetUse - m.queued.Seconds()/drainTime.Seconds()
+	excess := max(0, m.queued.Seconds()-m.slots*queueAllowed.Seconds())
+	room := m.slots*targetUse - excess/drainTime.Seconds()
 	var sum float64
 	for l := call.Level(0); l <= m.level; l++ {
 		sum += m.mean[l]
@@ -104,18 +108,6 @@
 			return
 		}
 	}
-	m.level = min(m.level+call.Level(m.raise), m.highest())
+	m.level = min(m.level+call.Level(m.raise), Top)
 	m.raise = min(2*m.raise, maxRaise)
 }
-
-// highest is the end of the lowest rank that any demand was seen of. A
-// threshold beyond it would say no more, and take long to come back from in
-// the means that callers keep.
-func (m *Meter) highest() call.Level {
-	for l := Top; l > 0; l-- {
-		if m.mean[l] > 0 {
-			return call.Level((RankOf(l)+1)*parts - 1)
-		}
-	}
-	return Top
-}
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -26,10 +26,11 @@
 	// comeBackLeaving is when to come back to a node that is stopping; the
 	// caller's next request goes to another one by then.
 	comeBackLeaving = time.Second
-	// patienceShare is the part of a route's target latency that a new request
-	// may wait for its turn at one target: half of it is its usual service
-	// time, and another target, or coming back later, takes the rest.
-	patienceShare = 4
+	// patienceShare is the part of the time a new request can spare, beyond
+	// what its route usually takes, that it may wait for its turn at one
+	// target. A late answer is worth more to its caller than a refusal; half
+	// of the time stays for another target, or for coming back.
+	patienceShare = 2
 	// bodyDefault bounds one body until an operator's limit is known.
 	bodyDefault = 1 << 20
 )
@@ -114,7 +115,7 @@
 	q.HTTP = &call.HTTPRequest{Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: n.fields(r.Header),
 		Caller: n.cfg.Service, Level: from.level, Begun: from.begun, Repeat: from.repeat, Idempotent: rt.Idempotent}
 	if !from.begun {
-		q.HTTP.Patience = rt.TargetLatency / patienceShare
+		q.HTTP.Patience = max(left-n.usual.Mean(rt.Name, left/2), 0) / patienceShare
 	}
 	return q, nil
 }
@@ -133,7 +134,9 @@
 		n.board.Called(p.route, rt.Name)
 		return origin{level: p.level, begun: true, repeat: p.repeat}
 	}
-	return origin{level: admit.LevelOf(rt.Priority, id)}
+	level := admit.LevelOf(rt.Priority, id)
+	n.board.See(level)
+	return origin{level: level}
 }
 
 // admitNew refuses a new request that the node will not see through, or that
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -33,9 +33,10 @@
 
 // tries is what became of the tries of one request so far.
 type tries struct {
-	asked   []directory.InstanceID
-	reached int  // instances that were handed the request, or may have been
-	ran     bool // some try was not refused
+	asked       []directory.InstanceID
+	unreachable int  // of those asked
+	reached     int  // instances that were handed the request, or may have been
+	ran         bool // some try was not refused
 }
 
 // forward sends a request to instances of its service until one gives a
@@ -64,6 +65,11 @@
 		// A later try was refused, but an earlier one may have run.
 		last = call.Answer{ID: q.ID, Status: call.Unknown, Reason: "an earlier try may have run; the last was refused: " + last.Reason}
 	}
+	if t.unreachable == len(t.asked) {
+		// Nobody can serve this route from here. Requests that would call on
+		// it are refused where they enter, before their work is begun.
+		n.board.Told(q.route.Name, 0)
+	}
 	if last.Status == call.NotRun && last.RetryAfter == 0 {
 		last.RetryAfter = n.comeBack(q.route, time.Until(q.deadline))
 	}
@@ -77,6 +83,7 @@
 	o := balance.Outcome{Route: q.route.Name, Unreachable: !reachable, Leaving: a.Leaving, Load: a.Load}
 	switch {
 	case !reachable:
+		t.unreachable++
 	case a.Status == call.NotRun:
 		o.Refused = a.Reached
 		if a.Reached {
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -52,6 +52,7 @@
 		return a
 	}
 	deadline, _ := ctx.Deadline()
+	n.board.See(r.HTTP.Level)
 	n.meter.Arrive(r.HTTP.Level, n.work.Mean(r.Operation, firstWork), n.gate.Waiting())
 	waited, err := n.gate.Enter(ctx, slots.Ticket{Level: r.HTTP.Level, Begun: r.HTTP.Begun, Deadline: deadline, Patience: r.HTTP.Patience})
 	if err != nil {
