Use instances missing after an outage only where a service has no others

Which removals are real cannot be told apart in the first list after an outage, so a doubtful instance now gets requests only when its service has no certain one.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -97,10 +97,11 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	certain := anyCertain(instances)
 	best, avoided := -1, -1
 	var bestCost, avoidedCost float64
 	for i := range instances {
-		if instances[i].Leaving || contains(tried, instances[i].ID) {
+		if instances[i].Leaving || (certain && instances[i].Doubtful) || contains(tried, instances[i].ID) {
 			continue
 		}
 		s := b.state(instances[i].ID)
@@ -217,6 +218,16 @@
 	return c + jitter*rand.Float64()
 }
 
+// anyCertain reports whether some instance is there for certain.
+func anyCertain(instances []directory.Instance) bool {
+	for i := range instances {
+		if !instances[i].Leaving && !instances[i].Doubtful {
+			return true
+		}
+	}
+	return false
+}
+
 func contains(ids []directory.InstanceID, id directory.InstanceID) bool {
 	for _, o := range ids {
 		if o == id {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -136,6 +136,25 @@
 	})
 }
 
+// The store is back after an outage and one instance is missing from its
+// list. It may have left, and then gets no more requests; but when all are
+// missing, they are all there is until they are listed again.
+func TestDoubtfulInstancesAreTheLastResort(t *testing.T) {
+	Convey("A doubtful instance is picked only where no other is left at all", t, func() {
+		b := New("nord")
+		some := []directory.Instance{{ID: "a", Doubtful: true}, {ID: "b"}}
+		in, ok := b.Pick(some, nil)
+		So(ok, ShouldBeTrue)
+		So(in.ID, ShouldEqual, directory.InstanceID("b"))
+		_, ok = b.Pick(some, []directory.InstanceID{"b"})
+		So(ok, ShouldBeFalse)
+		all := []directory.Instance{{ID: "a", Doubtful: true}, {ID: "b", Leaving: true}}
+		in, ok = b.Pick(all, nil)
+		So(ok, ShouldBeTrue)
+		So(in.ID, ShouldEqual, directory.InstanceID("a"))
+	})
+}
+
 // BenchmarkPick measures choosing among the instances of a service at the
 // size to design for: 1,100 instances in 120 services.
 func BenchmarkPick(b *testing.B) {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -13,7 +13,7 @@
 	// missing afterwards to be in doubt: instances whose writes did not reach
 	// it were dropped meanwhile.
 	outageLapse = 1500 * time.Millisecond
-	// returnGrace is how long such an entry is still believed after the
+	// returnGrace is how long such an entry is kept as doubtful after the
 	// source is back. Live instances are back in the list within about two
 	// seconds; half a second covers the way here.
 	returnGrace = 2500 * time.Millisecond
@@ -45,7 +45,7 @@
 		mu        sync.Mutex // guards the fields below
 		routes    *Routes
 		instances map[InstanceID]Instance
-		doubtful  map[InstanceID]time.Time // listed no more, believed until
+		doubtful  map[InstanceID]time.Time // listed no more, kept until
 		awaySince time.Time                // zero while the source answers
 		graceEnds time.Time                // after an outage
 		listed    bool                     // a snapshot was applied
@@ -173,7 +173,7 @@
 	if time.Now().Before(d.graceEnds) {
 		if _, already := d.doubtful[id]; !already {
 			d.doubtful[id] = d.graceEnds
-			d.log.WithFields(log.Fields{"instance": id, "believed_until": d.graceEnds}).Info("instance_doubtful")
+			d.log.WithFields(log.Fields{"instance": id, "kept_until": d.graceEnds}).Info("instance_doubtful")
 		}
 		return
 	}
@@ -188,6 +188,10 @@
 
 // publish makes the state the current view.
 func (d *Directory) publish() {
+	for id, in := range d.instances {
+		_, in.Doubtful = d.doubtful[id]
+		d.instances[id] = in
+	}
 	v := newView(d.routes, d.instances)
 	d.view.Store(v)
 	for _, f := range d.onChange {
@@ -206,9 +210,10 @@
 }
 
 // Back notes that the source answers. After an outage, entries that are
-// missing are believed for a while longer: instances that live come back to
+// missing are kept as doubtful for a while: instances that live come back to
 // the list by themselves, and dropping them all at once would refuse every
-// request.
+// request. One that left in that moment is missing too, and may get no more
+// requests; so doubtful ones are used only where a service has no others.
 func (d *Directory) Back() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -117,9 +117,12 @@
 		d.Replace(Snapshot{Revision: 4})
 		Convey("Missing entries stay for the time in which they can come back", t, func() {
 			So(len(d.View().Instances("archiv")), ShouldEqual, 2)
+			So(d.View().Instances("archiv")[0].Doubtful, ShouldBeTrue)
 			time.Sleep(2 * time.Second)
 			back := instance("a", 5)
 			d.Apply([]Change{{Instance: &back}}, 5)
+			in, _ := d.View().Find("a")
+			So(in.Doubtful, ShouldBeFalse)
 			time.Sleep(time.Second)
 			d.Settle()
 			ins := d.View().Instances("archiv")
--- a/directory/instances.go
+++ b/directory/instances.go
@@ -22,6 +22,7 @@
 		Addr     string // host:port, reachable from its own VM only
 		Slots    int    // requests it serves at once
 		Leaving  bool   // takes no new requests
+		Doubtful bool   // not listed since an outage of the source; only for want of another
 		ColdTill time.Time
 		Revision Revision
 	}
