Drop actions that wait when their caller leaves; seeds; reload on SIGHUP; body time

It asks the seeds, whose control addresses speak the nodes' own protocol. - SIGHUP ended the process. It reloads the settings: tuning is put in force, the rest is said to need a restart, a bad file changes nothing. - a caller that stopped in the middle of a body held its connection for ever.

--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
-	"time"
+	"os/signal"
+	"reflect"
+	"syscall"
 
 	"github.com/apex/log"
 	"github.com/oatpin/oatpin/budget"
@@ -24,8 +26,9 @@
 	Usage: "run the node beside one target VM on the users' platform",
 	Flags: []cli.Flag{settingsFlag},
 	Action: func(c *cli.Context) error {
-		s := settings.Sidecar{Grace: 6 * time.Second, RepeatWindow: 10 * time.Second, MemoryMB: 128}
-		if err := settings.Load(c.String("settings"), "sidecar", &s); err != nil {
+		path := c.String("settings")
+		s, err := loadSidecar(path)
+		if err != nil {
 			return err
 		}
 		out := timeline.NewAsync(os.Stdout)
@@ -33,9 +36,9 @@
 		lg := (&log.Logger{Handler: out, Level: log.InfoLevel}).WithField("process", s.Name)
 		dir := directory.New(lg)
 		n, err := sidecar.New(sidecar.Config{
-			Name: s.Name, DC: s.DC, Service: s.Service, Target: s.Target, Callers: s.Callers, Peer: s.Peer, Ready: s.Ready, Metrics: s.Metrics,
-			Headers: platform.Headers, BodyBytes: int64(s.MemoryMB) << 20 / bodyShare, Grace: s.Grace, Directory: dir, Log: lg,
-			Repeats: budget.WindowConfig{Span: s.RepeatWindow, Ratio: s.RepeatRatio, Slack: s.RepeatSlack},
+			Name: s.Name, DC: s.DC, Service: s.Service, Target: s.Target, Callers: s.Callers, Peer: s.Peer,
+			Control: s.Control, Seeds: s.Seeds, Ready: s.Ready, Metrics: s.Metrics,
+			Headers: platform.Headers, Tuning: tuning(s), Grace: s.Grace, Directory: dir, Log: lg,
 		})
 		if err != nil {
 			return err
@@ -43,6 +46,53 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go dir.Follow(ctx, platform.NewStore(s.Store, lg))
+		go reloadOnHangup(ctx, path, s, n, lg)
 		return runUntilSignal(n.Serve, n.Shutdown)
 	},
 }
+
+func loadSidecar(path string) (settings.Sidecar, error) {
+	s := settings.NewSidecar()
+	err := settings.Load(path, "sidecar", &s)
+	return s, err
+}
+
+// tuning is the part of the settings that a reload puts in force.
+func tuning(s settings.Sidecar) sidecar.Tuning {
+	return sidecar.Tuning{
+		BodyBytes: int64(s.MemoryMB) << 20 / bodyShare,
+		Repeats:   budget.WindowConfig{Span: s.RepeatWindow, Ratio: s.RepeatRatio, Slack: s.RepeatSlack},
+	}
+}
+
+// reloadOnHangup reads the settings again on each SIGHUP, without which the
+// signal would end the process. A bad file leaves those in force; addresses
+// and names need a restart, which is said.
+func reloadOnHangup(ctx context.Context, path string, s settings.Sidecar, n *sidecar.Node, lg log.Interface) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		next, err := loadSidecar(path)
+		if err != nil {
+			lg.WithError(err).Error("settings_refused")
+			continue
+		}
+		if tuning(next) != tuning(s) {
+			n.Tune(tuning(next))
+		}
+		lg.WithField("needs_restart", !reflect.DeepEqual(fixed(next), fixed(s))).Info("settings_reloaded")
+		s = next
+	}
+}
+
+// fixed is the part of the settings that only a restart puts in force.
+func fixed(s settings.Sidecar) settings.Sidecar {
+	s.MemoryMB, s.RepeatRatio, s.RepeatSlack, s.RepeatWindow = 0, 0, 0, 0
+	return s
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -14,10 +14,10 @@
 	// change and are asked again: a change that the source did not tell is
 	// found within about that time, for four calls a second at any size.
 	lookSpacing = 250 * time.Millisecond
-	// watchMin and watchMax bound how long one watch waits: calls have their
+	// leastWatch and mostWatch bound how long one watch waits: calls have their
 	// price, and a source keeps its history for twenty seconds.
-	watchMin = time.Second
-	watchMax = 15 * time.Second
+	leastWatch = time.Second
+	mostWatch  = 15 * time.Second
 	// gatherTime is how long a node waits after a change before it asks for
 	// the next: changes come in groups, each call has its price, and a tenth
 	// of the bound for a change to be in force is enough.
@@ -26,11 +26,11 @@
 	// its usual milliseconds, and under what a slow source takes (some
 	// hundred milliseconds).
 	readWait = 2 * time.Second
-	// backoffMin and backoffMax bound the pause before asking a source that
+	// leastBackoff and mostBackoff bound the pause before asking a source that
 	// failed again. Every refused call is priced too; the upper bound keeps
 	// a node within two seconds of a configuration after the source is back.
-	backoffMin = 50 * time.Millisecond
-	backoffMax = time.Second
+	leastBackoff = 50 * time.Millisecond
+	mostBackoff  = time.Second
 	// settleEvery is how often doubtful instances are looked at.
 	settleEvery = 250 * time.Millisecond
 )
@@ -52,9 +52,9 @@
 // Follow keeps d up to date with a source until ctx ends.
 func (d *Directory) Follow(ctx context.Context, src Source) {
 	go d.settle(ctx)
-	backoff := backoffMin
+	backoff := leastBackoff
 	for ctx.Err() == nil {
-		err := d.followOnce(ctx, src, func() { backoff = backoffMin })
+		err := d.followOnce(ctx, src, func() { backoff = leastBackoff })
 		if ctx.Err() != nil {
 			return
 		}
@@ -63,7 +63,7 @@
 			continue
 		}
 		pause(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, backoffMax)
+		backoff = min(2*backoff, mostBackoff)
 	}
 }
 
@@ -87,7 +87,7 @@
 // the same revision: the source cuts waiting watches now and then, and
 // reading everything again costs more.
 func (d *Directory) watch(ctx context.Context, src Source, after Revision, ok func()) error {
-	backoff := backoffMin
+	backoff := leastBackoff
 	for ctx.Err() == nil {
 		asked := time.Now()
 		wait := d.lookEvery()
@@ -105,9 +105,9 @@
 		case err != nil:
 			d.Away(silentSince(asked, err), err)
 			pause(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, backoffMax)
+			backoff = min(2*backoff, mostBackoff)
 		default:
-			backoff = backoffMin
+			backoff = leastBackoff
 			d.Back()
 			ok()
 			d.Apply(changes, next)
@@ -126,7 +126,7 @@
 // learn it from that one.
 func (d *Directory) lookEvery() time.Duration {
 	nodes := len(d.View().All())
-	wait := min(max(time.Duration(nodes)*lookSpacing, watchMin), watchMax)
+	wait := min(max(time.Duration(nodes)*lookSpacing, leastWatch), mostWatch)
 	return wait*3/4 + rand.N(wait/2)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -104,6 +104,11 @@
 			problems = append(problems, name+" "+value+" is not well formed")
 		}
 	}
+	atLeast := func(name string, ok bool) {
+		if !ok {
+			problems = append(problems, name+" is too small")
+		}
+	}
 	switch s := v.(type) {
 	case *Node:
 		need("instance", s.Instance, nonEmpty)
@@ -123,6 +128,17 @@
 			{"ready", s.Ready}, {"metrics", s.Metrics}, {"store", s.Store}} {
 			need(a.name, a.addr, hostPort)
 		}
+		if s.Control != "" {
+			need("control", s.Control, hostPort)
+		}
+		for _, seed := range s.Seeds {
+			need("seed", seed, hostPort)
+		}
+		atLeast("memory_mb", s.MemoryMB > 0)
+		atLeast("grace", s.Grace > 0)
+		atLeast("repeat_window", s.RepeatWindow > 0)
+		atLeast("repeat_ratio", s.RepeatRatio >= 0)
+		atLeast("repeat_slack", s.RepeatSlack >= 0)
 	case *Target:
 		need("service", s.Service, nonEmpty)
 		need("http", s.HTTP, hostPort)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -38,3 +41,28 @@
 		So(err.Error(), ShouldContainSubstring, "target 127.0.0.1:2 is not well formed")
 	})
 }
+
+// An operator's file for a sidecar has several mistakes. All are named at
+// once, and nothing is put in force.
+func TestSidecarSettingsAreCheckedWhole(t *testing.T) {
+	Convey("Every problem is named; a good file has the defaults for the rest", t, func() {
+		dir := t.TempDir()
+		path := filepath.Join(dir, "s.ini")
+		good := "[sidecar]\nname=a\ndc=d\nservice=s\ntarget=h:1\ncallers=h:2\npeer=h:3\nready=h:4\nmetrics=h:5\nstore=h:6\ncontrol=\nseeds=\n"
+		So(os.WriteFile(path, []byte(good), 0o600), ShouldBeNil)
+		s := NewSidecar()
+		So(Load(path, "sidecar", &s), ShouldBeNil)
+		So(s.Grace, ShouldEqual, sidecarGrace)
+		So(s.Seeds, ShouldBeEmpty)
+		bad := strings.Replace(good, "target=h:1\n", "target=h\n", 1) + "memory_mb=0\nrepeat_ratio=-1\n"
+		So(os.WriteFile(path, []byte(strings.Replace(bad, "store=h:6\n", "", 1)), 0o600), ShouldBeNil)
+		s = NewSidecar()
+		err := Load(path, "sidecar", &s)
+		So(errors.Is(err, ErrInvalid), ShouldBeTrue)
+		for _, part := range []string{"target h is not well formed", "store is missing", "memory_mb", "repeat_ratio"} {
+			So(err.Error(), ShouldContainSubstring, part)
+		}
+		So(os.WriteFile(path, []byte(good+"grcae=2s\n"), 0o600), ShouldBeNil)
+		So(Load(path, "sidecar", &s).Error(), ShouldContainSubstring, "grcae")
+	})
+}
--- a/sidecar/answer.go
+++ b/sidecar/answer.go
@@ -20,7 +20,9 @@
 		if h.Get("Content-Type") == "" {
 			h["Content-Type"] = nil // or net/http would guess one
 		}
-		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		if a.HTTP.Code != http.StatusNoContent && a.HTTP.Code != http.StatusNotModified {
+			h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		}
 		w.WriteHeader(a.HTTP.Code)
 		if _, err := w.Write(a.Body); err != nil {
 			n.note.Note("answer_not_taken", func() log.Fields { return log.Fields{"id": q.ID, "error": err.Error()} })
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -61,15 +62,9 @@
 		return
 	}
 	defer n.bodies.Add(-int64(len(q.Body)))
-	ctx := r.Context()
-	if !q.route.Idempotent {
-		// Whether an action whose caller left has run would be for nobody
-		// to know: it goes on to its end.
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	a := n.forward(ctx, r.Context(), q)
+	a := n.forward(ctx, q)
 	n.stats.answered(q.route.Name, a.Status)
 	if a.Status == call.OK {
 		n.usual.Took(q.route.Name, time.Since(q.entered))
@@ -103,7 +98,7 @@
 			return nil, no
 		}
 	}
-	body, no := n.readBody(w, r, routes.Limits.BodyBytes)
+	body, no := n.readBody(w, r, routes.Limits.BodyBytes, entered.Add(left))
 	if no != nil {
 		return nil, no
 	}
@@ -181,27 +176,37 @@
 	return min(left, time.Duration(ms)*time.Millisecond), nil
 }
 
-// readBody reads a whole body within the operator's limit and the memory
-// for all bodies.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
+// readBody reads a whole body within the operator's limit, the memory for all
+// bodies and the request's time: a caller that sends slowly, or stops, holds
+// its connection no longer than that.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request, limit int64, until time.Time) ([]byte, *refusal) {
 	if r.ContentLength == 0 || r.Body == http.NoBody {
 		return nil, nil
 	}
 	if limit <= 0 {
 		limit = bodyDefault
 	}
-	if n.cfg.BodyBytes > 0 && n.bodies.Load()+max(r.ContentLength, 0) > n.cfg.BodyBytes {
+	if most := n.tuning.Load().BodyBytes; most > 0 && n.bodies.Load()+max(r.ContentLength, 0) > most {
 		return nil, &refusal{code: http.StatusServiceUnavailable, after: comeBackLeaving, why: "no memory for the body"}
 	}
+	conn := http.NewResponseController(w)
+	if err := conn.SetReadDeadline(until); err != nil {
+		n.log.WithError(err).Warn("body_unbounded_in_time")
+	}
 	var buf bytes.Buffer
 	_, err := io.Copy(&buf, http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, &refusal{code: http.StatusRequestEntityTooLarge, why: err.Error()}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &refusal{code: http.StatusRequestTimeout, why: "body was not sent in time"}
 	case err != nil:
 		return nil, &refusal{code: http.StatusBadRequest, why: "body: " + err.Error()}
 	}
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		n.log.WithError(err).Warn("read_deadline_kept")
+	}
 	n.bodies.Add(int64(buf.Len()))
 	return buf.Bytes(), nil
 }
--- a/sidecar/catchup.go
+++ b/sidecar/catchup.go
@@ -19,6 +19,11 @@
 	catchUpAfter = 300 * time.Millisecond
 	// catchUpWait bounds asking another node.
 	catchUpWait = time.Second
+	// seedAfter is how long a starting node waits for the source before it
+	// asks the seeds, and seedEvery how often it asks again: its VM is of no
+	// use until it knows its routes.
+	seedAfter = 300 * time.Millisecond
+	seedEvery = 300 * time.Millisecond
 )
 
 // heardRevision is told the revision that a peer's answer carries. A source
@@ -44,6 +49,27 @@
 	}()
 }
 
+// askSeeds lets a node that starts while the source does not answer it learn
+// the routes and instances from another node.
+func (n *Node) askSeeds() {
+	wait := seedAfter
+	for i := 0; len(n.cfg.Seeds) > 0; i++ {
+		select {
+		case <-n.stop:
+			return
+		case <-time.After(wait):
+		}
+		if n.dir.Listed() {
+			return
+		}
+		seed := n.cfg.Seeds[i%len(n.cfg.Seeds)]
+		if err := n.catchUp(wire.Peer{Addr: seed}); err != nil {
+			n.note.Note("seed_failed", func() log.Fields { return log.Fields{"seed": seed, "error": err.Error()} })
+		}
+		wait = seedEvery
+	}
+}
+
 // catchUp takes over what a peer knows.
 func (n *Node) catchUp(p wire.Peer) error {
 	ctx, cancel := context.WithTimeout(context.Background(), catchUpWait)
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -40,9 +40,8 @@
 }
 
 // forward sends a request to instances of its service until one gives a
-// final answer. ctx ends at the request's deadline; left ends when the
-// caller has gone.
-func (n *Node) forward(ctx, left context.Context, q *request) call.Answer {
+// final answer. ctx ends at the request's deadline or when its caller leaves.
+func (n *Node) forward(ctx context.Context, q *request) call.Answer {
 	if q.HTTP.Repeat {
 		n.window(q.Service).Inherit()
 	} else {
@@ -57,7 +56,7 @@
 		}
 		t.asked = append(t.asked, in.ID)
 		last = n.try(ctx, q, in, &t)
-		if !n.again(ctx, left, q, last, &t) {
+		if !n.again(ctx, q, last, &t) {
 			break
 		}
 	}
@@ -165,8 +164,8 @@
 // again reports whether the request is to be sent to another instance after
 // an answer, and counts it against the bound on repeats if an instance was
 // handed the request before.
-func (n *Node) again(ctx, left context.Context, q *request, a call.Answer, t *tries) bool {
-	if ctx.Err() != nil || left.Err() != nil || time.Until(q.deadline) < leastTime {
+func (n *Node) again(ctx context.Context, q *request, a call.Answer, t *tries) bool {
+	if ctx.Err() != nil || time.Until(q.deadline) < leastTime {
 		return false
 	}
 	switch a.Status {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -48,19 +48,29 @@
 		Target  string // host:port of the local target
 		Callers string // host:port for callers on this VM and the local target's own calls
 		Peer    string // host:port for other nodes; the port is the same on all VMs
+		Control string // host:port at which nodes that know nothing ask; empty for none
+		// Seeds are control addresses of other nodes, asked while the source
+		// does not answer a node that knows nothing yet.
+		Seeds   []string
 		Ready   string // host:port for readiness questions
 		Metrics string // host:port for metrics
 		Headers call.Headers
-		// BodyBytes bounds the bodies of all requests held at once.
-		BodyBytes int64
-		// Repeats bounds what is sent to a second instance.
-		Repeats budget.WindowConfig
+		Tuning  Tuning
 		// Grace is how long the process may go on after it is told to stop.
 		Grace     time.Duration
 		Directory *directory.Directory
 		Log       log.Interface
 	}
 
+	// Tuning is the part of a Config that can change while a Node runs.
+	Tuning struct {
+		// BodyBytes bounds the bodies of all requests held at once; 0 for no
+		// bound.
+		BodyBytes int64
+		// Repeats bounds what is sent to a second instance.
+		Repeats budget.WindowConfig
+	}
+
 	// Node is one running node.
 	Node struct {
 		cfg      Config
@@ -84,10 +94,11 @@
 		metrics  *http.Server
 
 		draws    atomic.Uint64 // numbers the draws of split routes
-		bodies   atomic.Int64  // bytes of callers' bodies held
-		active   atomic.Int64  // callers' requests being answered
-		catching atomic.Bool   // a peer is being asked for its snapshot
-		leaving  atomic.Int64  // unix nanoseconds of the stop's begin, 0 before
+		tuning   atomic.Pointer[Tuning]
+		bodies   atomic.Int64 // bytes of callers' bodies held
+		active   atomic.Int64 // callers' requests being answered
+		catching atomic.Bool  // a peer is being asked for its snapshot
+		leaving  atomic.Int64 // unix nanoseconds of the stop's begin, 0 before
 		self     atomic.Pointer[directory.Instance]
 
 		mu      sync.Mutex
@@ -121,6 +132,7 @@
 		windows:  map[string]*budget.Window{},
 		stop:     make(chan struct{}),
 	}
+	n.tuning.Store(&cfg.Tuning)
 	n.peers = wire.NewPool(wire.PoolConfig{From: cfg.Name, Log: cfg.Log, OnVersion: n.heardRevision})
 	n.wire = wire.Server{Handler: n.servePeer, Version: n.revision}
 	n.callers = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes}
@@ -132,7 +144,7 @@
 
 // Serve listens on the configured addresses and runs until Shutdown.
 func (n *Node) Serve() error {
-	failed := make(chan error, 4)
+	failed := make(chan error, 5)
 	listen := func(addr string, serve func(net.Listener) error) error {
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
@@ -142,6 +154,11 @@
 		go func() { <-n.stop; l.Close() }()
 		return nil
 	}
+	if n.cfg.Control != "" {
+		if err := listen(n.cfg.Control, n.wire.Serve); err != nil {
+			return err
+		}
+	}
 	for _, s := range []struct {
 		addr  string
 		serve func(net.Listener) error
@@ -151,6 +168,7 @@
 		}
 	}
 	go n.peers.KeepAlive(n.stop)
+	go n.askSeeds()
 	n.log.WithFields(log.Fields{"callers": n.cfg.Callers, "peer": n.cfg.Peer, "service": n.cfg.Service}).Info("node_started")
 	err := <-failed
 	select {
@@ -198,13 +216,21 @@
 	return 0
 }
 
+// Tune puts a new tuning in force; the bounds on repeats begin anew.
+func (n *Node) Tune(t Tuning) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tuning.Store(&t)
+	n.windows = map[string]*budget.Window{}
+}
+
 // window returns the bound on repeats to a service.
 func (n *Node) window(service string) *budget.Window {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	w := n.windows[service]
 	if w == nil {
-		w = budget.NewWindow(n.cfg.Repeats)
+		w = budget.NewWindow(n.tuning.Load().Repeats)
 		n.windows[service] = w
 	}
 	return w
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -258,10 +260,9 @@
 		began := make(chan struct{}, 1)
 		for _, v := range m.vms[1:] {
 			v.target.on(func(w http.ResponseWriter, r *http.Request) {
-				select {
-				case began <- struct{}{}:
+				if strings.HasSuffix(r.URL.Path, "slow") {
+					began <- struct{}{}
 					time.Sleep(600 * time.Millisecond)
-				default:
 				}
 				signed(w, r, http.StatusOK, "")
 			})
@@ -310,3 +311,75 @@
 }
 
 func rid(s string) call.RequestID { return call.RequestID(s) }
+
+// A node is restarted while the store turns it away. Its VM is of no use until
+// it knows the routes, which every other node could tell.
+func TestARestartedNodeLearnsFromASeed(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("It asks the seeds, one after the other, until one tells", t, func() {
+		m.seeds = []string{"127.0.0.9:1", m.vms[1].node.cfg.Control}
+		v := m.start("127.0.0.4", "rankings")
+		m.vms = append(m.vms, v)
+		for range 50 {
+			if v.dir.Listed() {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, got := m.get(v, "/read/x")
+		So(got.code, ShouldEqual, http.StatusOK)
+		So(readyCode(v), ShouldEqual, http.StatusOK)
+	})
+}
+
+// A caller gives up on an action that still waits for its turn at a full
+// target. Nothing of it has run, and nobody waits for it: it must not run.
+func TestAnActionThatWaitsWhenItsCallerLeavesNeverRuns(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("It leaves the queue with its caller", t, func() {
+		v := m.vms[1]
+		v.node.gate.SetLimit(1)
+		release := make(chan struct{})
+		v.target.on(func(w http.ResponseWriter, r *http.Request) {
+			<-release
+			signed(w, r, http.StatusOK, "")
+		})
+		go m.get(m.vms[0], "/read/first")
+		for v.node.gate.Load().Busy == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			for v.node.gate.Load().Queued == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+		}()
+		id, got := m.send(ctx, m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		So(got.err, ShouldNotBeNil)
+		for v.node.gate.Load().Queued > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		close(release)
+		time.Sleep(50 * time.Millisecond)
+		So(v.target.runs(id), ShouldEqual, 0)
+	})
+}
+
+// A caller sends half a body and stops. Its connection is not to be held for
+// ever, and it is told that nothing ran.
+func TestABodyThatStopsIsRefusedInTime(t *testing.T) {
+	m := newMesh(t, "archiv")
+	Convey("408 when the request's time is up", t, func() {
+		c, err := net.Dial("tcp", m.vms[0].node.cfg.Callers)
+		So(err, ShouldBeNil)
+		defer c.Close()
+		io.WriteString(c, "PUT /publish/x HTTP/1.1\r\nHost: h\r\nRequest-Id: half\r\nDeadline-Ms: 300\r\nContent-Length: 10\r\n\r\nabc")
+		began := time.Now()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		So(err, ShouldBeNil)
+		So(resp.StatusCode, ShouldEqual, http.StatusRequestTimeout)
+		So(time.Since(began), ShouldBeBetween, 250*time.Millisecond, 900*time.Millisecond)
+		So(m.vms[0].target.runs("half"), ShouldEqual, 0)
+	})
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -33,11 +33,8 @@
 }
 
 // serveLocal serves a request by the local target within the time it has.
+// ctx ends when the caller has left.
 func (n *Node) serveLocal(ctx context.Context, r call.Request) call.Answer {
-	if !r.HTTP.Idempotent {
-		// The sender's connection may break; the action goes on to its end.
-		ctx = context.WithoutCancel(ctx)
-	}
 	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
 	defer cancel()
 	return n.serve(ctx, r)
@@ -60,6 +57,13 @@
 		a.Leaving = errors.Is(err, slots.ErrLeaving)
 		return n.withLoad(r, a)
 	}
+	if !r.HTTP.Idempotent {
+		// Its caller may leave or the sender's connection break: once begun,
+		// an action goes on to its end, or nobody could say whether it ran.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline)
+		defer cancel()
+	}
 	n.running.add(r.ID, run{route: r.Operation, level: r.HTTP.Level, repeat: r.HTTP.Repeat})
 	began := time.Now()
 	a := n.callTarget(ctx, r, deadline)
