--- a/admit/board.go
+++ b/admit/board.go
@@ -13,15 +13,13 @@
 	fresh = 300 * time.Millisecond
 	// regain is how fast a threshold that nobody confirms is given up, in
 	// levels a second: when a whole rank is refused, no answer tells that
-	// there is room again, and a request let through is how to find out. All
-	// three ranks in use are back within a second: what refused them may be a
-	// cut that has healed, and a wrong guess is told by the next answers.
-	regain = 48.0
+	// there is room again, and a request let through is how to find out.
+	regain = 12.0
 	// newestTold is the weight of the newest answer: thresholds move by a
 	// part or two with chance.
 	newestTold = 0.1
 	// toldKept is how long a threshold counts at all that is not told again.
-	toldKept = 1500 * time.Millisecond
+	toldKept = 3 * time.Second
 	// roundUp makes a truncation round to the nearest.
 	roundUp = 0.5
 	// callsKept is how long a route counts as called after it last was.
--- a/directory/instances.go
+++ b/directory/instances.go
@@ -40,16 +40,13 @@
 	v := &View{Routes: routes, services: map[string][]Instance{}, byAddr: map[string]Instance{}, ids: map[InstanceID]Instance{}}
 	for id, in := range ids {
 		v.ids[id] = in
+		v.services[in.Service] = append(v.services[in.Service], in)
 		// An address is used again by a later instance, so the entry that
-		// changed last tells who is there now. The one before it stays listed
-		// until its heartbeats are missed, for seconds after a power cut.
+		// changed last tells who is there now.
 		if old, ok := v.byAddr[in.Addr]; !ok || old.Revision < in.Revision {
 			v.byAddr[in.Addr] = in
 		}
 	}
-	for _, in := range v.byAddr {
-		v.services[in.Service] = append(v.services[in.Service], in)
-	}
 	return v
 }
 
