Choose test nodes' ports below the kernel's range

The port had been chosen by listening on :0 and closing, and the kernel gave it to another connection before the node listened: it lies in the range for connections, 32768 to 60999. Ports are counted up from 21000 now.

--- a/sidecar/fake_test.go
+++ b/sidecar/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -101,10 +102,30 @@
 	return l
 }
 
+// Ports for nodes, which are told their addresses before they listen. They
+// lie below the range from which the kernel takes ports for connections: one
+// of those could be taken again between the choice and the node's start.
+const (
+	firstPort = 21000
+	lastPort  = 31999
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(rand.IntN(lastPort - firstPort))) }
+
+// freePort returns a port that nothing listens on at any test address.
 func freePort(t *testing.T) int {
-	l := listenOn(t, "127.0.0.1")
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", ":"+strconv.Itoa(port))
+		if err == nil {
+			l.Close()
+			return port
+		}
+	}
+	t.Fatal("no port is free")
+	return 0
 }
 
 func freeAddr(t *testing.T, ip string) string { return net.JoinHostPort(ip, strconv.Itoa(freePort(t))) }
