--- a/call/http.go
+++ b/call/http.go
@@ -14,7 +14,6 @@
 		ExpectedInstance string // any other instance refuses the request unrun
 		NotExecuted      string // on an answer to a request that the target did not run
 		CallerService    string // service of the VM at which the request began
-		InstanceID       string
 	}
 
 	// Field is one header line.
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -103,18 +103,19 @@
 		return nil, no
 	}
 	q := &request{route: rt, entered: entered, deadline: entered.Add(left)}
-	q.ID = id
-	q.Service = rt.Service(n.draw())
-	q.Body = body
-	q.Operation = rt.Name
-	q.HTTP = &call.HTTPRequest{Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: n.fields(r.Header),
-		Caller: n.cfg.Service, Level: from.level, Begun: from.begun, Repeat: from.repeat, Idempotent: rt.Idempotent}
+	q.Request = call.Request{ID: id, Service: rt.Service(n.draw()), Operation: rt.Name, Body: body, HTTP: n.forTarget(r, rt, from)}
 	if !from.begun {
 		q.HTTP.Patience = max(left-n.usual.Mean(rt.Name, left/2), 0) / patienceShare
 	}
 	return q, nil
 }
 
+// forTarget is the request as its target is to get it.
+func (n *Node) forTarget(r *http.Request, rt *directory.Route, from origin) *call.HTTPRequest {
+	return &call.HTTPRequest{Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: n.fields(r.Header),
+		Caller: n.cfg.Service, Level: from.level, Begun: from.begun, Repeat: from.repeat, Idempotent: rt.Idempotent}
+}
+
 // origin says what a request comes from.
 type origin struct {
 	level  call.Level
--- a/sidecar/fake_test.go
+++ b/sidecar/fake_test.go
@@ -23,7 +23,7 @@
 )
 
 var testHeaders = call.Headers{RequestID: "Request-Id", Deadline: "Deadline-Ms", Signature: "Signature",
-	ExpectedInstance: "Expected-Instance", NotExecuted: "Not-Executed", CallerService: "Caller-Service", InstanceID: "Instance-Id"}
+	ExpectedInstance: "Expected-Instance", NotExecuted: "Not-Executed", CallerService: "Caller-Service"}
 
 type (
 	// mesh is a few nodes on loopback addresses, each with a fake target.
