Let requests of a higher rank go before calls of a lower one at the gate

Cause: calls of requests that run went before all new requests, whatever their rank.

Ruled out: too little room. The views are 5 of about 100 slots.

Now the rank decides, and begun calls go first within it.

--- a/slots/gate.go
+++ b/slots/gate.go
@@ -203,12 +203,16 @@
 	return time.Duration(ahead) * g.mean / time.Duration(g.limit)
 }
 
-// level is a ticket's place in the queue: calls of requests that already run
-// before new ones, since refusing one of them wastes all that ran above it.
+// level is a ticket's place in the queue: by rank, so that a full target
+// never makes an approval wait for reads, and within a rank calls of requests
+// that already run before new ones, since refusing one of them wastes all
+// that ran above it. A call of a lower rank waits longer than it would in
+// front of everything, but what its request has spent is lost only when the
+// ranks above it fill the target for as long as its whole deadline.
 func level(t Ticket) int {
-	l := admit.RankOf(t.Level)
+	l := 2 * admit.RankOf(t.Level)
 	if !t.Begun {
-		l += admit.RankOf(admit.Top) + 1
+		l++
 	}
 	return l
 }
