Bound the wait of a new request by when its answer is on time, once for all

Cause: a request waited up to half of what it could spare at one instance, and then as long again at the next. Once a queue stands that serves nobody more, makes each answer late, and refuses callers when they have no time left to come back.

The wait now ends where the answer would miss the route's target latency, and counts over all instances. The decision and the time to come back moved from sidecar to admit, where they need no network.

--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -27,11 +27,6 @@
 	// comeBackLeaving is when to come back to a node that is stopping; the
 	// caller's next request goes to another one by then.
 	comeBackLeaving = time.Second
-	// patienceShare is the part of the time a new request can spare, beyond
-	// what its route usually takes, that it may wait for its turn at one
-	// target. A late answer is worth more to its caller than a refusal; half
-	// of the time stays for another target, or for coming back.
-	patienceShare = 2
 	// bodyDefault bounds one body until an operator's limit is known.
 	bodyDefault = 1 << 20
 )
@@ -46,6 +41,9 @@
 	route    *directory.Route
 	deadline time.Time
 	entered  time.Time
+	// turnBy is until when a new request may wait for its turn, at all
+	// instances together; zero for a call of a request that runs already.
+	turnBy time.Time
 }
 
 // serveCaller answers one request of a caller on this VM, or of the local
@@ -105,11 +103,16 @@
 	q := &request{route: rt, entered: entered, deadline: entered.Add(left)}
 	q.Request = call.Request{ID: id, Service: rt.Service(n.draw()), Operation: rt.Name, Body: body, HTTP: n.forTarget(r, rt, from)}
 	if !from.begun {
-		q.HTTP.Patience = max(left-n.usual.Mean(rt.Name, left/2), 0) / patienceShare
+		q.turnBy = entered.Add(n.times(rt, left).Patience())
 	}
 	return q, nil
 }
 
+// times is what is known of the time of a request by a route.
+func (n *Node) times(rt *directory.Route, left time.Duration) admit.Times {
+	return admit.Times{Left: left, Target: rt.TargetLatency, Usual: n.usual.Mean(rt.Name, 0)}
+}
+
 // forTarget is the request as its target is to get it.
 func (n *Node) forTarget(r *http.Request, rt *directory.Route, from origin) *call.HTTPRequest {
 	return &call.HTTPRequest{Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: n.fields(r.Header),
@@ -143,7 +146,7 @@
 		return &refusal{code: http.StatusServiceUnavailable, after: comeBackLeaving, why: "node is leaving"}
 	}
 	if up := n.board.Threshold(rt.Name); level > up {
-		return &refusal{code: http.StatusServiceUnavailable, after: n.comeBack(rt, left),
+		return &refusal{code: http.StatusServiceUnavailable, after: n.times(rt, left).ComeBack(),
 			why: "overload: level " + strconv.Itoa(int(level)) + " is over " + strconv.Itoa(int(up))}
 	}
 	return nil
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -29,6 +29,8 @@
 	dialPatience = 250 * time.Millisecond
 	// leastTime is what must be left for another try to be worth sending.
 	leastTime = 20 * time.Millisecond
+	// noPatience lets a request into a target only if there is room at once.
+	noPatience = time.Millisecond
 )
 
 // tries is what became of the tries of one request so far.
@@ -70,7 +72,7 @@
 		n.board.Told(q.route.Name, 0)
 	}
 	if last.Status == call.NotRun && last.RetryAfter == 0 {
-		last.RetryAfter = n.comeBack(q.route, time.Until(q.deadline))
+		last.RetryAfter = n.times(q.route, time.Until(q.deadline)).ComeBack()
 	}
 	return last
 }
@@ -133,6 +135,9 @@
 func (n *Node) send(ctx context.Context, q *request, in directory.Instance, t *tries) (a call.Answer, reachable bool) {
 	r := q.Request
 	r.To = string(in.ID)
+	if !q.turnBy.IsZero() {
+		q.HTTP.Patience = max(time.Until(q.turnBy), noPatience)
+	}
 	r.Yields = q.route.Idempotent && len(t.asked) < q.route.MaxInstances && n.window(q.Service).Room()
 	r.Remaining = time.Until(q.deadline) - peerMargin
 	if in.Addr == n.cfg.Target {
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -14,6 +14,7 @@
 	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/slots"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -251,6 +252,25 @@
 	})
 }
 
+// Every target is full. A read that waits out its time at one and then again
+// at the next is refused long after its caller could have come back: the
+// time it may wait is for all of them together.
+func TestARequestWaitsOnceForAllInstances(t *testing.T) {
+	m := newMesh(t, "versand", "archiv", "archiv")
+	Convey("It is refused when the time it may wait is over", t, func() {
+		for _, v := range m.vms[1:] {
+			for range v.node.gate.Load().Limit {
+				_, err := v.node.gate.Enter(context.Background(), slots.Ticket{Begun: true, Deadline: time.Now().Add(time.Minute)})
+				So(err, ShouldBeNil)
+			}
+		}
+		sent := time.Now()
+		_, got := m.get(m.vms[0], "/read/x")
+		So(got.code, ShouldEqual, http.StatusServiceUnavailable)
+		So(time.Since(sent), ShouldBeLessThan, 500*time.Millisecond)
+	})
+}
+
 // A node gets SIGTERM while its target works on a request that came from
 // another node, and new requests still come for a while. None may be cut;
 // peers move to other instances at once.
