Take only the latest of the instances listed at one address

Cause: after a loss of power the entries of the instances that ended stay listed for three heartbeats beside the new ones at the same addresses.

The order is that of the entries' creation, not of their last change: an old entry may change once more.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -103,6 +103,39 @@
 	})
 }
 
+// All VMs lose power. Their instances start anew with other ids at the same
+// addresses, and for some seconds the entries of those that ended are still
+// listed. Requests handed to them come back unrun, and with as many dead
+// entries as live ones callers are refused although all is up. An entry of a
+// dead instance that changes once more does not bring it back.
+func TestAnAddressIsItsLatestInstances(t *testing.T) {
+	Convey("Only the instance listed last at an address is there", t, func() {
+		d := New(quiet)
+		at := func(id InstanceID, service string, since, rev Revision) Instance {
+			return Instance{ID: id, Service: service, Addr: "10.1.0.8:80", Slots: 4, Since: since, Revision: rev}
+		}
+		d.Replace(Snapshot{Revision: 9, Instances: []Instance{at("old", "archiv", 2, 8), at("new", "archiv", 7, 7), instance("b", 3)}})
+		var ids []InstanceID
+		for _, in := range d.View().Instances("archiv") {
+			ids = append(ids, in.ID)
+		}
+		So(ids, ShouldHaveLength, 2)
+		So(ids, ShouldNotContain, InstanceID("old"))
+		Convey("Also when it belongs to another service", func() {
+			later := at("reused", "versand", 12, 12)
+			d.Apply([]Change{{Instance: &later}}, 12)
+			So(d.View().Instances("archiv"), ShouldHaveLength, 1)
+			So(d.View().Instances("versand"), ShouldHaveLength, 1)
+			Convey("Until it is gone and the former one, if listed, is all that is known", func() {
+				d.Apply([]Change{{Gone: "reused", GoneAt: 13}}, 13)
+				in, ok := d.View().At("10.1.0.8:80")
+				So(ok, ShouldBeTrue)
+				So(in.ID, ShouldEqual, InstanceID("new"))
+			})
+		})
+	})
+}
+
 // The store is away for six seconds and drops every instance that could not
 // report meanwhile. When it is back the list is empty; the instances live and
 // are listed again two seconds later. Dropping them would refuse every
--- a/directory/instances.go
+++ b/directory/instances.go
@@ -24,7 +24,8 @@
 		Leaving  bool   // takes no new requests
 		Doubtful bool   // not listed since an outage of the source; only for want of another
 		ColdTill time.Time
-		Revision Revision
+		Since    Revision // at which it was first listed
+		Revision Revision // at which its entry last changed
 	}
 
 	// View is what a node knows at one moment; it never changes.
@@ -40,21 +41,24 @@
 	v := &View{Routes: routes, services: map[string][]Instance{}, byAddr: map[string]Instance{}, ids: map[InstanceID]Instance{}}
 	for id, in := range ids {
 		v.ids[id] = in
-		v.services[in.Service] = append(v.services[in.Service], in)
-		// An address is used again by a later instance, so the entry that
-		// changed last tells who is there now.
-		if old, ok := v.byAddr[in.Addr]; !ok || old.Revision < in.Revision {
+		if old, ok := v.byAddr[in.Addr]; !ok || old.Since < in.Since {
 			v.byAddr[in.Addr] = in
 		}
 	}
+	for _, in := range v.byAddr {
+		v.services[in.Service] = append(v.services[in.Service], in)
+	}
 	return v
 }
 
 // Instances returns the instances of a service, leaving ones included; the
-// caller must not change it.
+// caller must not change it. Of the instances listed at one address only the
+// latest is there: after a loss of power the entries of those that ended stay
+// listed for seconds beside the new ones, and every second try would go to an
+// instance that is no more.
 func (v *View) Instances(service string) []Instance { return v.services[service] }
 
-// At returns the instance at an address.
+// At returns the instance at an address, the latest where several are listed.
 func (v *View) At(addr string) (Instance, bool) {
 	in, ok := v.byAddr[addr]
 	return in, ok
