Order requests within a rank by their part at every gate

Cause: in order of arrival, all calls of one rank wait alike. A cache page makes ten calls to the ranking service; with more of them than it can do, each of the ten waits, none has the last one done in time, and the service is busy for nothing.

All calls of a request have the same part everywhere, so ordering by it finishes the requests of the low parts and ends the others early.

--- a/admit/level.go
+++ b/admit/level.go
@@ -16,6 +16,8 @@
 
 	// Top is the level up to which everything is admitted.
 	Top call.Level = levels - 1
+	// Parts is how many parts a rank has.
+	Parts = parts
 )
 
 // LevelOf returns a request's level: its rank and, within it, a part drawn
@@ -28,3 +30,6 @@
 
 // RankOf returns the rank of a level, 0 to be served first.
 func RankOf(l call.Level) int { return int(min(l, Top)) / parts }
+
+// PartOf returns a level's part within its rank, from 0 to Parts-1.
+func PartOf(l call.Level) int { return int(min(l, Top)) % parts }
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -204,15 +204,19 @@
 }
 
 // level is a ticket's place in the queue: by rank, so that a full target
-// never makes an approval wait for reads, and within a rank calls of requests
+// never makes an approval wait for reads; within a rank calls of requests
 // that already run before new ones, since refusing one of them wastes all
-// that ran above it. A call of a lower rank waits longer than it would in
-// front of everything, but what its request has spent is lost only when the
-// ranks above it fill the target for as long as its whole deadline.
+// that ran above it; and within these by the part drawn from the request.
+//
+// A request that makes ten calls waits in the queue ten times. In order of
+// arrival all wait the same, and in a surge none gets its last call done in
+// time: the target is busy and nothing is finished. All of a request's calls
+// have the same part at every target, so those of the lowest parts pass
+// everywhere without waiting and are finished, and the others end early.
 func level(t Ticket) int {
 	l := 2 * admit.RankOf(t.Level)
 	if !t.Begun {
 		l++
 	}
-	return l
+	return l*admit.Parts + admit.PartOf(t.Level)
 }
