Let an instance's node tell its callers how it fails

Cause: each of sixteen callers counted an instance's failures by its own few requests, a sixteenth each, and lost a dozen before it left. The node beside the instance sees the requests of all; it now counts what the target failed by itself (not what failed because a call of it was refused elsewhere, or its caller left) and tells the part with each answer. A target that cannot be connected to counts too, and is given up after 0.3 s instead of 1.5 s: nothing was sent, so the request goes elsewhere.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,17 +29,12 @@
 	slowForget = 4 * time.Second
 	// jitter spreads the choices of nodes that know the same.
 	jitter = 0.08
-	// smoothing is the weight of the newest outcome in an instance's means.
-	smoothing = 1.0 / 16
 	// usualSmoothing is the same for a route's usual time, which is to be
 	// steadier than any instance's.
 	usualSmoothing = 1.0 / 128
 	// ratioMost bounds one request's part in an instance's mean: one in a
 	// hundred takes five times as long by itself.
 	ratioMost = 6.0
-	// forget is the time after which an instance's failures count half: it
-	// then gets requests again that show whether it has mended.
-	forget = 2 * time.Second
 	// coldFactor is how much fuller a cold instance counts: it takes twice
 	// as long for the same work.
 	coldFactor = 2.0
@@ -79,8 +74,9 @@
 		loadAt      int     // outstanding when load was told
 		slow        float64 // mean time against the usual of the same routes; 0 if unknown
 		slowAt      time.Time
-		failing     float64 // 0 to 1
-		failedAt    time.Time
+		health      Health  // by this node's own requests
+		told        float64 // part that fails, as the instance's node told
+		toldAt      time.Time
 		avoidUntil  time.Time
 	}
 )
@@ -144,13 +140,9 @@
 	}
 	if o.Load != nil {
 		s.load, s.loadAt = *o.Load, s.outstanding
+		s.told, s.toldAt = o.Load.Failing, now
 	}
-	bad := 0.0
-	if o.Failed || o.Refused {
-		bad = 1
-		s.failedAt = now
-	}
-	s.failing += (bad - s.failing) * smoothing
+	s.health.Note(o.Failed || o.Refused)
 	if o.Took > 0 {
 		b.noteSpeed(s, o, now)
 	}
@@ -207,10 +199,7 @@
 	if in.DC != b.dc {
 		c += farCost
 	}
-	if s.failing > 0 {
-		age := float64(now.Sub(s.failedAt)) / float64(forget)
-		c += failCost * s.failing / (1 + age)
-	}
+	c += failCost * s.failing()
 	if s.slow > 0 {
 		age := float64(now.Sub(s.slowAt)) / float64(slowForget)
 		c += min(slowMost, slowCost*(s.slow-1)/(1+age))
@@ -218,6 +207,12 @@
 	return c + jitter*rand.Float64()
 }
 
+// failing is the part of an instance's requests that fails. This node sees
+// what got lost on the way; the instance's node sees the requests of all
+// callers, and tells of an instance that fails after a few of them, where
+// each caller by itself would have to lose a dozen to know.
+func (s *state) failing() float64 { return max(s.health.Failing(), faded(s.told, s.toldAt)) }
+
 // anyCertain reports whether some instance is there for certain.
 func anyCertain(instances []directory.Instance) bool {
 	for i := range instances {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -70,6 +70,29 @@
 	})
 }
 
+// Two fifths of an instance's answers are lost. Sixteen nodes send it a few
+// actions a second each, which cannot be sent again; by its own requests a
+// node knows of it only after it has lost several. The node beside the
+// instance sees all of them, and its next answer tells.
+func TestAnInstanceWhoseNodeTellsOfFailuresIsLeftAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("One answer that tells is enough, and it is believed for a while", t, func() {
+			b := New("nord")
+			told := func(id directory.InstanceID) Outcome {
+				l := loadOf(10)
+				if id == "near" {
+					l.Failing = 0.4
+				}
+				return Outcome{Load: l}
+			}
+			So(picks(b, 100, told)["near"], ShouldEqual, 1)
+			time.Sleep(20 * time.Second)
+			fine := func(directory.InstanceID) Outcome { return Outcome{Load: loadOf(10)} }
+			So(picks(b, 100, fine)["near"], ShouldEqual, 100)
+		})
+	})
+}
+
 // An instance turns five times slower while its slots are still free. Its
 // requests would come too late; they are to go to the other data centre. The
 // routes mix short and long requests, which says nothing of speed.
--- a/call/http.go
+++ b/call/http.go
@@ -60,5 +60,6 @@
 		Queued   int      // requests that wait for it at its node
 		Limit    int      // requests it may work on at once
 		Admit    Level    // up to which the target, and those it calls, can serve what comes
+		Failing  float64  // part of its latest requests that the target failed, 0 to 1
 	}
 )
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -63,6 +63,9 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	a := n.forward(ctx, q)
+	if q.HTTP.Begun && a.Status != call.OK {
+		n.running.broke(q.ID)
+	}
 	n.stats.answered(q.route.Name, a.Status)
 	if a.Status == call.OK {
 		n.usual.Took(q.route.Name, time.Since(q.entered))
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -127,7 +127,7 @@
 		return false
 	}
 	timedOut := ctx.Err() != nil || time.Until(q.deadline) <= 2*peerMargin
-	return !timedOut || waited >= 2*n.usual.Mean(q.route.Name, 0)
+	return !timedOut || waited >= slowTimes*n.usual.Mean(q.route.Name, 0)
 }
 
 // send hands the request to the node beside an instance; reachable is false
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -82,6 +82,7 @@
 		work     *slots.Work // of the local target, by route
 		usual    *slots.Work // of whole requests that began here, by route
 		meter    *admit.Meter
+		health   balance.Health // of the local target
 		board    *admit.Board
 		running  *running
 		target   *targetconn.Pool
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -234,6 +234,38 @@
 	})
 }
 
+// An instance breaks off every answer; the callers that asked it once are
+// told how it does by its node. Another one fails only because what it calls
+// is refused elsewhere: that says nothing of it.
+func TestANodeTellsHowItsTargetFails(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("Failures of the target's own are told, those of its calls are not", t, func() {
+		for range 10 {
+			m.vms[1].target.on(func(w http.ResponseWriter, r *http.Request) {
+				call, err := http.NewRequest(http.MethodGet, "http://"+m.vms[1].node.cfg.Callers+"/lookup/x", nil)
+				if err != nil {
+					return
+				}
+				call.Host = "h"
+				call.Header.Set("Request-Id", r.Header.Get("Request-Id")+".c1")
+				resp, err := http.DefaultTransport.RoundTrip(call)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					signed(w, r, http.StatusInternalServerError, "a call failed")
+				}
+			})
+			m.vms[0].target.on(func(w http.ResponseWriter, r *http.Request) { signed(w, r, http.StatusInternalServerError, "") })
+			m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		}
+		So(m.vms[1].node.health.Failing(), ShouldEqual, 0)
+		So(m.vms[0].node.health.Failing(), ShouldBeGreaterThan, 0.3)
+		m.vms[1].target.on(func(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) })
+		for range 10 {
+			m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		}
+		So(m.vms[1].node.health.Failing(), ShouldBeGreaterThan, 0.3)
+	})
+}
+
 // The targets on a read's way are too busy. It is refused where it enters,
 // before any of its work is done, with a time to come back that is within
 // what its caller still waits.
--- a/sidecar/running.go
+++ b/sidecar/running.go
@@ -22,6 +22,7 @@
 		route  string
 		level  call.Level
 		repeat bool
+		broken bool // a call made for it has failed
 	}
 )
 
@@ -33,20 +34,46 @@
 	r.mu.Unlock()
 }
 
-func (r *running) remove(id call.RequestID) {
+// remove forgets a request that ended and returns what was known of it.
+func (r *running) remove(id call.RequestID) run {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.byID[id]
 	delete(r.byID, id)
-	r.mu.Unlock()
+	return v
+}
+
+// broke notes that a call made for a running request has failed.
+func (r *running) broke(callID call.RequestID) {
+	parent, ok := parentID(callID)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v, ok := r.byID[parent]; ok {
+		v.broken = true
+		r.byID[parent] = v
+	}
 }
 
 // parent returns the running request that a call is made for.
 func (r *running) parent(id call.RequestID) (run, bool) {
-	i := strings.LastIndexByte(string(id), '.')
-	if i < 0 {
+	parent, ok := parentID(id)
+	if !ok {
 		return run{}, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v, ok := r.byID[id[:i]]
+	v, ok := r.byID[parent]
 	return v, ok
 }
+
+// parentID returns the id that a call's id extends.
+func parentID(id call.RequestID) (call.RequestID, bool) {
+	i := strings.LastIndexByte(string(id), '.')
+	if i < 0 {
+		return "", false
+	}
+	return id[:i], true
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -12,9 +12,15 @@
 	"github.com/oatpin/oatpin/targetconn"
 )
 
-// firstWork is taken as the time a route's requests take at the target until
-// one is measured.
-const firstWork = 50 * time.Millisecond
+const (
+	// firstWork is taken as the time a route's requests take at the target
+	// until one is measured.
+	firstWork = 50 * time.Millisecond
+	// slowTimes is how many times its usual time a request must have had for
+	// its missing answer to speak against the instance; by chance alone one
+	// in a hundred takes that long.
+	slowTimes = 2
+)
 
 // servePeer serves a request that came from another node.
 func (n *Node) servePeer(ctx context.Context, r call.Request) call.Answer {
@@ -68,7 +74,7 @@
 	began := time.Now()
 	a := n.callTarget(ctx, r, deadline)
 	took := time.Since(began)
-	n.running.remove(r.ID)
+	n.health.Note(n.targetFailed(ctx, r, a, n.running.remove(r.ID), took))
 	if a.Status != call.OK {
 		took = 0
 	} else {
@@ -78,10 +84,31 @@
 	return n.withLoad(r, a)
 }
 
+// targetFailed reports whether the local target failed a request by itself:
+// not when its caller has left, when a call that it made was refused or
+// failed elsewhere, or when it was given less time than it usually takes.
+func (n *Node) targetFailed(ctx context.Context, r call.Request, a call.Answer, was run, took time.Duration) bool {
+	if a.Status == call.OK || was.broken || errors.Is(ctx.Err(), context.Canceled) {
+		return false
+	}
+	code := 0
+	if a.HTTP != nil {
+		code = a.HTTP.Code
+	}
+	switch {
+	case a.Status == call.Failed && code < http.StatusInternalServerError:
+		return false
+	case ctx.Err() != nil || code == http.StatusGatewayTimeout:
+		return took >= slowTimes*n.work.Mean(r.Operation, 0)
+	}
+	return true
+}
+
 // withLoad adds how busy the target is, and up to which level the targets
 // are not too busy that a request by this route meets.
 func (n *Node) withLoad(r call.Request, a call.Answer) call.Answer {
 	l := n.gate.Load()
+	l.Failing = n.health.Failing()
 	l.Admit = min(n.meter.Threshold(), n.board.Below(r.Operation))
 	a.Load = &l
 	return a
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -18,9 +18,10 @@
 
 const (
 	// dialWait bounds opening a connection on the same VM, a matter of
-	// microseconds: a target whose accept queue is full drops the opening
-	// packet, which is sent again only after a second.
-	dialWait = 1500 * time.Millisecond
+	// microseconds. A target that is gone without a trace, or whose accept
+	// queue is full, drops the opening packet, which is sent again only after
+	// a second; nothing was sent, so another instance can have the request.
+	dialWait = 300 * time.Millisecond
 	// idleDefault is how long an idle connection is kept when the target
 	// does not say: under the shortest usual server timeout of 5 s.
 	idleDefault = 4 * time.Second
