Send actions whose time is tight to instances that are fast on their route

The balancer now keeps speeds by route, sends one action in 32 anywhere sound to keep them known, and counts slowness against an instance by the part of its time that the action usually takes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,9 +24,27 @@
 	// while requests wait at the fast ones.
 	slowCost = 0.2
 	slowMost = 2.0
+	// tightCost is the same for an action, for each part of its time that it
+	// usually takes: one that runs out of time cannot be made elsewhere. An
+	// approval that takes a third of its time goes to another data centre
+	// when it takes two fifths longer than usual here.
+	tightCost = 3.0
+	// exploreOne of so many actions goes to any sound instance instead of the
+	// best: speed is known by comparison only, and a node whose own data
+	// centre has one slow instance would never see another.
+	exploreOne = 32
+	// sound is the part that may fail at an instance to be explored.
+	sound = 0.05
+	// roomy is the part of its slots that may be in use there.
+	roomy = 0.8
+	// exploreFirst puts an instance to be explored before all others.
+	exploreFirst = 10.0
 	// slowForget is the time after which what is known of an instance's
 	// speed counts half, when nothing new is heard.
 	slowForget = 4 * time.Second
+	// routeForget is the same for its speed on one route, of which a node
+	// hears every few seconds, when it explores.
+	routeForget = 20 * time.Second
 	// jitter spreads the choices of nodes that know the same.
 	jitter = 0.08
 	// usualSmoothing is the same for a route's usual time, which is to be
@@ -57,6 +75,16 @@
 		states map[directory.InstanceID]*state
 	}
 
+	// Ask is a request to be sent to one of several instances.
+	Ask struct {
+		Route     string
+		Instances []directory.Instance
+		Tried     []directory.InstanceID // not to be picked
+		// Once says that it cannot be sent again when it may have run.
+		Once bool
+		Time time.Duration // in which it is to be done; only with Once
+	}
+
 	// Outcome is how one request to an instance ended.
 	Outcome struct {
 		Route       string        // by which the request went
@@ -68,12 +96,18 @@
 		Load        *call.Load    // as its node told with the answer; may be nil
 	}
 
+	// speed is a mean time against the usual of the same routes; 0 if unknown.
+	speed struct {
+		ratio float64
+		at    time.Time
+	}
+
 	state struct {
 		outstanding int
 		load        call.Load
-		loadAt      int     // outstanding when load was told
-		slow        float64 // mean time against the usual of the same routes; 0 if unknown
-		slowAt      time.Time
+		loadAt      int // outstanding when load was told
+		slow        speed
+		byRoute     map[string]speed
 		health      Health  // by this node's own requests
 		told        float64 // part that fails, as the instance's node told
 		toldAt      time.Time
@@ -86,28 +120,32 @@
 	return &Balancer{dc: dc, usual: map[string]time.Duration{}, states: map[directory.InstanceID]*state{}}
 }
 
-// Pick chooses among the instances of a service, but for those in tried, and
-// counts the request as outstanding there until Done. ok is false when none
-// is left.
-func (b *Balancer) Pick(instances []directory.Instance, tried []directory.InstanceID) (in directory.Instance, ok bool) {
+// Pick chooses an instance for a request and counts the request as
+// outstanding there until Done. ok is false when none is left.
+func (b *Balancer) Pick(a Ask) (in directory.Instance, ok bool) {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	certain := anyCertain(instances)
+	explore := a.Once && rand.N(exploreOne) == 0
+	certain := anyCertain(a.Instances)
 	best, avoided := -1, -1
 	var bestCost, avoidedCost float64
-	for i := range instances {
-		if instances[i].Leaving || (certain && instances[i].Doubtful) || contains(tried, instances[i].ID) {
+	for i := range a.Instances {
+		in := &a.Instances[i]
+		if in.Leaving || (certain && in.Doubtful) || contains(a.Tried, in.ID) {
 			continue
 		}
-		s := b.state(instances[i].ID)
-		cost := b.cost(&instances[i], s, now)
+		s := b.state(in.ID)
+		cost := b.cost(in, s, now) + b.tightness(&a, s, now)
 		if now.Before(s.avoidUntil) {
 			if avoided < 0 || cost < avoidedCost {
 				avoided, avoidedCost = i, cost
 			}
 			continue
 		}
+		if explore && s.failing() < sound && s.used(in) < roomy {
+			cost = rand.Float64() - exploreFirst
+		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -118,8 +156,17 @@
 	if best < 0 {
 		return directory.Instance{}, false
 	}
-	b.state(instances[best].ID).outstanding++
-	return instances[best], true
+	b.state(a.Instances[best].ID).outstanding++
+	return a.Instances[best], true
+}
+
+// tightness is what an instance's speed on a route costs an action besides.
+func (b *Balancer) tightness(a *Ask, s *state, now time.Time) float64 {
+	if !a.Once || a.Time <= 0 {
+		return 0
+	}
+	part := min(1, float64(b.usual[a.Route])/float64(a.Time))
+	return tightCost * part * s.byRoute[a.Route].over(now, routeForget)
 }
 
 // Done notes how a request to an instance ended.
@@ -157,11 +204,25 @@
 	}
 	ratio := min(float64(o.Took)/float64(usual), ratioMost)
 	b.usual[o.Route] = usual + time.Duration(float64(o.Took-usual)*usualSmoothing)
-	if s.slow == 0 {
-		s.slow = 1
+	s.slow = s.slow.next(ratio, now)
+	s.byRoute[o.Route] = s.byRoute[o.Route].next(ratio, now)
+}
+
+// next returns a speed with one more request in it.
+func (p speed) next(ratio float64, now time.Time) speed {
+	if p.ratio == 0 {
+		p.ratio = 1
 	}
-	s.slow += (ratio - s.slow) * smoothing
-	s.slowAt = now
+	return speed{ratio: p.ratio + (ratio-p.ratio)*smoothing, at: now}
+}
+
+// over returns by how much an instance is slower than usual, negative for a
+// faster one, less the longer ago that was seen.
+func (p speed) over(now time.Time, forget time.Duration) float64 {
+	if p.ratio == 0 {
+		return 0
+	}
+	return (p.ratio - 1) / (1 + float64(now.Sub(p.at))/float64(forget))
 }
 
 // Keep forgets the instances that a view no longer lists.
@@ -178,7 +239,7 @@
 func (b *Balancer) state(id directory.InstanceID) *state {
 	s := b.states[id]
 	if s == nil {
-		s = &state{}
+		s = &state{byRoute: map[string]speed{}}
 		b.states[id] = s
 	}
 	return s
@@ -187,12 +248,7 @@
 // cost is how much is against an instance, mostly the part of its slots that
 // is in use; less is better.
 func (b *Balancer) cost(in *directory.Instance, s *state, now time.Time) float64 {
-	limit := s.load.Limit
-	if limit == 0 {
-		limit = max(in.Slots, 1)
-	}
-	used := max(s.load.Busy+s.load.Queued+s.outstanding-s.loadAt, s.outstanding)
-	c := float64(used) / float64(limit)
+	c := s.used(in)
 	if now.Before(in.ColdTill) {
 		c *= coldFactor
 	}
@@ -200,13 +256,20 @@
 		c += farCost
 	}
 	c += failCost * s.failing()
-	if s.slow > 0 {
-		age := float64(now.Sub(s.slowAt)) / float64(slowForget)
-		c += min(slowMost, slowCost*(s.slow-1)/(1+age))
-	}
+	c += min(slowMost, slowCost*s.slow.over(now, slowForget))
 	return c + jitter*rand.Float64()
 }
 
+// used is the part of an instance's slots that is in use or waited for.
+func (s *state) used(in *directory.Instance) float64 {
+	limit := s.load.Limit
+	if limit == 0 {
+		limit = max(in.Slots, 1)
+	}
+	n := max(s.load.Busy+s.load.Queued+s.outstanding-s.loadAt, s.outstanding)
+	return float64(n) / float64(limit)
+}
+
 // failing is the part of an instance's requests that fails. This node sees
 // what got lost on the way; the instance's node sees the requests of all
 // callers, and tells of an instance that fails after a few of them, where
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -20,7 +20,7 @@
 func picks(b *Balancer, n int, end func(id directory.InstanceID) Outcome) map[directory.InstanceID]int {
 	count := map[directory.InstanceID]int{}
 	for range n {
-		in, ok := b.Pick(instances, nil)
+		in, ok := b.Pick(Ask{Instances: instances})
 		So(ok, ShouldBeTrue)
 		count[in.ID]++
 		b.Done(in.ID, end(in.ID))
@@ -104,7 +104,7 @@
 			run := func(n int) int {
 				near := 0
 				for i := range n {
-					in, _ := b.Pick(instances, nil)
+					in, _ := b.Pick(Ask{Instances: instances})
 					o := Outcome{Route: "short", Took: 15 * time.Millisecond, Load: loadOf(10)}
 					if i%5 == 0 {
 						o.Route, o.Took = "long", 500*time.Millisecond
@@ -126,6 +126,50 @@
 	})
 }
 
+// The only approval instance of a data centre is slow: it takes half as long
+// again as the others, and one approval in thirty runs out of its 1.5 s there
+// and is lost, since it may have run. There is room elsewhere. Reads, which
+// can be made again, stay near.
+func TestATightActionGoesToAFastInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Approvals go to the far, fast instance, reads to the near one", t, func() {
+			b := New("nord")
+			run := func(a Ask, usual time.Duration, n int) (near int) {
+				a.Instances = instances
+				for range n {
+					in, _ := b.Pick(a)
+					o := Outcome{Route: a.Route, Took: usual, Load: loadOf(6)}
+					if in.ID == "near" {
+						near++
+						o.Took = usual * 3 / 2
+					}
+					b.Done(in.ID, o)
+					time.Sleep(10 * time.Millisecond)
+				}
+				return near
+			}
+			approve := Ask{Route: "approve", Instances: instances, Once: true, Time: 1500 * time.Millisecond}
+			run(approve, 450*time.Millisecond, 2000)
+			So(run(approve, 450*time.Millisecond, 300), ShouldBeLessThan, 45)
+			So(run(Ask{Route: "read"}, 400*time.Millisecond, 300), ShouldBeGreaterThan, 270)
+			Convey("But not to one that is full", func() {
+				in, _ := b.Pick(approve)
+				b.Done(in.ID, Outcome{})
+				b.states["far"].load = *loadOf(60)
+				near := 0
+				for range 100 {
+					in, _ := b.Pick(approve)
+					if in.ID == "near" {
+						near++
+					}
+					b.Done(in.ID, Outcome{})
+				}
+				So(near, ShouldBeGreaterThan, 90)
+			})
+		})
+	})
+}
+
 // A node cannot be reached. Each request that tries it first loses the time
 // of a dial; it is to be tried again once in a while only, and it must still
 // be tried when it is the only one.
@@ -133,11 +177,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("It is left alone for a second, unless nothing else is left", t, func() {
 			b := New("nord")
-			in, _ := b.Pick(instances, nil)
+			in, _ := b.Pick(Ask{Instances: instances})
 			b.Done(in.ID, Outcome{Unreachable: true})
 			fine := func(directory.InstanceID) Outcome { return Outcome{Load: loadOf(1)} }
 			So(picks(b, 500, fine)["near"], ShouldEqual, 0)
-			in, ok := b.Pick(instances, []directory.InstanceID{"far"})
+			in, ok := b.Pick(Ask{Instances: instances, Tried: []directory.InstanceID{"far"}})
 			So(ok, ShouldBeTrue)
 			So(in.ID, ShouldEqual, directory.InstanceID("near"))
 			b.Done("near", Outcome{Unreachable: true})
@@ -151,10 +195,10 @@
 	Convey("Neither an instance that leaves nor one already asked is picked", t, func() {
 		b := New("nord")
 		leaving := []directory.Instance{{ID: "a", Leaving: true}, {ID: "b"}}
-		in, ok := b.Pick(leaving, nil)
+		in, ok := b.Pick(Ask{Instances: leaving})
 		So(ok, ShouldBeTrue)
 		So(in.ID, ShouldEqual, directory.InstanceID("b"))
-		_, ok = b.Pick(leaving, []directory.InstanceID{"b"})
+		_, ok = b.Pick(Ask{Instances: leaving, Tried: []directory.InstanceID{"b"}})
 		So(ok, ShouldBeFalse)
 	})
 }
@@ -166,13 +210,13 @@
 	Convey("A doubtful instance is picked only where no other is left at all", t, func() {
 		b := New("nord")
 		some := []directory.Instance{{ID: "a", Doubtful: true}, {ID: "b"}}
-		in, ok := b.Pick(some, nil)
+		in, ok := b.Pick(Ask{Instances: some})
 		So(ok, ShouldBeTrue)
 		So(in.ID, ShouldEqual, directory.InstanceID("b"))
-		_, ok = b.Pick(some, []directory.InstanceID{"b"})
+		_, ok = b.Pick(Ask{Instances: some, Tried: []directory.InstanceID{"b"}})
 		So(ok, ShouldBeFalse)
 		all := []directory.Instance{{ID: "a", Doubtful: true}, {ID: "b", Leaving: true}}
-		in, ok = b.Pick(all, nil)
+		in, ok = b.Pick(Ask{Instances: all})
 		So(ok, ShouldBeTrue)
 		So(in.ID, ShouldEqual, directory.InstanceID("a"))
 	})
@@ -188,7 +232,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		in, _ := bal.Pick(ins, nil)
+		in, _ := bal.Pick(Ask{Instances: ins})
 		bal.Done(in.ID, Outcome{Took: time.Millisecond})
 	}
 }
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -52,7 +52,8 @@
 	var t tries
 	last := call.Refuse(q.Request, "no instance of "+q.Service, comeBackNone)
 	for range maxPicks {
-		in, ok := n.balancer.Pick(n.dir.View().Instances(q.Service), t.asked)
+		in, ok := n.balancer.Pick(balance.Ask{Route: q.route.Name, Instances: n.dir.View().Instances(q.Service), Tried: t.asked,
+			Once: !q.route.Idempotent, Time: time.Until(q.deadline)})
 		if !ok {
 			break
 		}
