--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/balance"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
@@ -52,8 +53,7 @@
 	var t tries
 	last := call.Refuse(q.Request, "no instance of "+q.Service, comeBackNone)
 	for range maxPicks {
-		in, ok := n.balancer.Pick(balance.Ask{Route: q.route.Name, Instances: n.dir.View().Instances(q.Service), Tried: t.asked,
-			Once: !q.route.Idempotent, Time: time.Until(q.deadline)})
+		in, ok := n.balancer.Pick(n.ask(q, t.asked))
 		if !ok {
 			break
 		}
@@ -78,6 +78,18 @@
 	return last
 }
 
+// ask is what the balancer is to know of a request. While something on the
+// request's way is overloaded, the speed of instances does not count for
+// actions: their calls are made from where they are served, and would all
+// fall on what is near the fastest instance.
+func (n *Node) ask(q *request, tried []directory.InstanceID) balance.Ask {
+	a := balance.Ask{Route: q.route.Name, Instances: n.dir.View().Instances(q.Service), Tried: tried}
+	if n.board.Threshold(q.route.Name) == admit.Top {
+		a.Once, a.Time = !q.route.Idempotent, time.Until(q.deadline)
+	}
+	return a
+}
+
 // try sends the request to one instance and notes how that went.
 func (n *Node) try(ctx context.Context, q *request, in directory.Instance, t *tries) call.Answer {
 	sent := time.Now()
