Serve latency histograms by service, class and outcome, and what a node believes

Operators had two counters: answers by route and status, and repeats. An engineer could not see how long callers waited, why they were refused, or how full a target was.

The test asks for each of them over HTTP; it did not compile before.

--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -66,7 +66,7 @@
 	if q.HTTP.Begun && a.Status != call.OK {
 		n.running.broke(q.ID)
 	}
-	n.stats.answered(q.route.Name, a.Status)
+	n.stats.answered(q.route, q.Service, a.Status, time.Since(q.entered))
 	if a.Status == call.OK {
 		n.usual.Took(q.route.Name, time.Since(q.entered))
 	}
@@ -78,7 +78,7 @@
 	entered := time.Now()
 	routes := n.dir.View().Routes
 	if routes == nil {
-		return nil, &refusal{code: http.StatusServiceUnavailable, after: comeBackNoRoutes, why: "no routes known yet"}
+		return nil, &refusal{code: http.StatusServiceUnavailable, cause: causeNoRoutes, after: comeBackNoRoutes, why: "no routes known yet"}
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	rt, err := routes.Match(r.Host, path)
@@ -86,11 +86,11 @@
 		return nil, n.noRoute()
 	}
 	if r.Header.Get(n.cfg.Headers.RequestID) == "" {
-		return nil, &refusal{code: http.StatusBadRequest, why: n.cfg.Headers.RequestID + " is missing"}
+		return nil, &refusal{code: http.StatusBadRequest, cause: causeRequest, why: n.cfg.Headers.RequestID + " is missing"}
 	}
 	left, err := n.timeLeft(r, rt)
 	if err != nil {
-		return nil, &refusal{code: http.StatusBadRequest, why: err.Error()}
+		return nil, &refusal{code: http.StatusBadRequest, cause: causeRequest, why: err.Error()}
 	}
 	id := call.RequestID(r.Header.Get(n.cfg.Headers.RequestID))
 	from := n.place(id, rt)
@@ -146,10 +146,10 @@
 // and take room from those that can be done.
 func (n *Node) admitNew(rt *directory.Route, level call.Level, left time.Duration) *refusal {
 	if since, ok := n.leavingSince(); ok && since > refuseAfter {
-		return &refusal{code: http.StatusServiceUnavailable, after: comeBackLeaving, why: "node is leaving"}
+		return &refusal{code: http.StatusServiceUnavailable, cause: causeLeaving, after: comeBackLeaving, why: "node is leaving"}
 	}
 	if up := n.board.Threshold(rt.Name); level > up {
-		return &refusal{code: http.StatusServiceUnavailable, after: n.times(rt, left).ComeBack(),
+		return &refusal{code: http.StatusServiceUnavailable, cause: causeOverload, after: n.times(rt, left).ComeBack(),
 			why: "overload: level " + strconv.Itoa(int(level)) + " is over " + strconv.Itoa(int(up))}
 	}
 	return nil
@@ -160,9 +160,9 @@
 // answer.
 func (n *Node) noRoute() *refusal {
 	if n.dir.SourceAway() {
-		return &refusal{code: http.StatusServiceUnavailable, after: comeBackNoRoutes, why: "no route in a version that may be old"}
+		return &refusal{code: http.StatusServiceUnavailable, cause: causeNoRoutes, after: comeBackNoRoutes, why: "no route in a version that may be old"}
 	}
-	return &refusal{code: http.StatusNotFound, why: directory.ErrNoRoute.Error()}
+	return &refusal{code: http.StatusNotFound, cause: causeNoRoute, why: directory.ErrNoRoute.Error()}
 }
 
 // timeLeft returns how long the request may take: as long as its caller
@@ -194,7 +194,7 @@
 		limit = bodyDefault
 	}
 	if most := n.tuning.Load().BodyBytes; most > 0 && n.bodies.Load()+max(r.ContentLength, 0) > most {
-		return nil, &refusal{code: http.StatusServiceUnavailable, after: comeBackLeaving, why: "no memory for the body"}
+		return nil, &refusal{code: http.StatusServiceUnavailable, cause: causeBody, after: comeBackLeaving, why: "no memory for the body"}
 	}
 	conn := http.NewResponseController(w)
 	if err := conn.SetReadDeadline(until); err != nil {
@@ -205,11 +205,11 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, &refusal{code: http.StatusRequestEntityTooLarge, why: err.Error()}
+		return nil, &refusal{code: http.StatusRequestEntityTooLarge, cause: causeBody, why: err.Error()}
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &refusal{code: http.StatusRequestTimeout, why: "body was not sent in time"}
+		return nil, &refusal{code: http.StatusRequestTimeout, cause: causeBody, why: "body was not sent in time"}
 	case err != nil:
-		return nil, &refusal{code: http.StatusBadRequest, why: "body: " + err.Error()}
+		return nil, &refusal{code: http.StatusBadRequest, cause: causeBody, why: "body: " + err.Error()}
 	}
 	if err := conn.SetReadDeadline(time.Time{}); err != nil {
 		n.log.WithError(err).Warn("read_deadline_kept")
@@ -268,12 +268,14 @@
 // refusal is an answer of the node's own to a request that has run nowhere.
 type refusal struct {
 	code  int
+	cause cause
 	after time.Duration // when to come back; 0 for no use in it
 	why   string
 }
 
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, f *refusal) {
 	id := r.Header.Get(n.cfg.Headers.RequestID)
+	n.stats.refused(f.cause)
 	n.note.Note("request_refused", func() log.Fields {
 		return log.Fields{"id": id, "code": f.code, "why": f.why, "come_back_ms": f.after.Milliseconds(), "routes": n.version(), "path": r.URL.Path}
 	})
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -115,6 +115,7 @@
 		o.Failed = false
 	}
 	n.balancer.Done(in.ID, o)
+	n.stats.tried(q.Service, a.Status, time.Since(sent))
 	if a.Load != nil {
 		n.board.Told(q.route.Name, a.Load.Admit)
 	}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -140,6 +140,7 @@
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerWait}
 	n.metrics = &http.Server{Handler: n.stats, ReadHeaderTimeout: headerWait}
 	n.dir.OnChange(n.learn)
+	n.stats.watch(n)
 	return n, nil
 }
 
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -58,6 +58,7 @@
 	n.board.See(r.HTTP.Level)
 	n.meter.Arrive(r.HTTP.Level, n.work.Mean(r.Operation, firstWork), n.gate.Waiting())
 	waited, err := n.gate.Enter(ctx, slots.Ticket{Level: r.HTTP.Level, Begun: r.HTTP.Begun, Deadline: deadline, Patience: r.HTTP.Patience})
+	n.stats.waited(r.HTTP.Begun, err == nil, waited)
 	if err != nil {
 		a := call.Refuse(r, "target: "+err.Error()+" after "+waited.String(), 0)
 		a.Leaving = errors.Is(err, slots.ErrLeaving)
--- /dev/null
+++ b/sidecar/stats_test.go
@@ -0,0 +1,75 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func metricsOf(v *vm) string {
+	resp, err := http.Get("http://" + v.node.cfg.Metrics + "/metrics")
+	So(err, ShouldBeNil)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	So(err, ShouldBeNil)
+	return string(b)
+}
+
+// lineOf returns the line of a metric whose name and labels begin so.
+func lineOf(text, name string, labels ...string) string {
+next:
+	for _, l := range strings.Split(text, "\n") {
+		if !strings.HasPrefix(l, name+"{") {
+			continue
+		}
+		for _, label := range labels {
+			if !strings.Contains(l, label) {
+				continue next
+			}
+		}
+		return l
+	}
+	return ""
+}
+
+// An engineer sees from a node's metrics alone what callers got, how long it
+// took, and why requests were refused.
+func TestMetricsTellWhatCallersGot(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("Outcomes by service and class, tries, waits, refusals by cause, and beliefs", t, func() {
+		for range 3 {
+			m.get(m.vms[0], "/read/x")
+		}
+		m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		m.get(m.vms[0], "/none/")
+		m.vms[0].node.board.Told("read", 0)
+		for range 40 { // a part of sixteen is still admitted
+			m.get(m.vms[0], "/read/x")
+		}
+		text := metricsOf(m.vms[0])
+		So(lineOf(text, "oatpin_request_duration_seconds_count", `class="action"`, `service="archiv"`, `status="ok"`), ShouldEndWith, " 1")
+		So(lineOf(text, "oatpin_request_duration_seconds_bucket", `class="idempotent"`, `route="read"`), ShouldNotBeEmpty)
+		So(lineOf(text, "oatpin_try_duration_seconds_count", `status="ok"`), ShouldNotBeEmpty)
+		So(lineOf(text, "oatpin_refused_total", `cause="no_route"`), ShouldEndWith, " 1")
+		So(lineOf(text, "oatpin_refused_total", `cause="overload"`), ShouldNotBeEmpty)
+		So(lineOf(text, "oatpin_routes_version"), ShouldEndWith, " 1")
+		So(lineOf(text, "oatpin_source_away"), ShouldEndWith, " 0")
+		text = metricsOf(m.vms[1])
+		So(lineOf(text, "oatpin_turn_wait_seconds_count", `admitted="true"`), ShouldNotBeEmpty)
+		So(lineOf(text, "oatpin_target_limit"), ShouldEndWith, " 18")
+	})
+}
+
+// BenchmarkAnswered measures counting one answer.
+func BenchmarkAnswered(b *testing.B) {
+	s := newStats("n")
+	rt := &testRoutes[0]
+	b.ReportAllocs()
+	for b.Loop() {
+		s.answered(rt, "archiv", "ok", 1)
+	}
+}
