--- a/balance/balance.go
+++ b/balance/balance.go
@@ -96,12 +96,6 @@
 		Load        *call.Load    // as its node told with the answer; may be nil
 	}
 
-	// speed is a mean time against the usual of the same routes; 0 if unknown.
-	speed struct {
-		ratio float64
-		at    time.Time
-	}
-
 	state struct {
 		outstanding int
 		load        call.Load
@@ -208,23 +202,6 @@
 	s.byRoute[o.Route] = s.byRoute[o.Route].next(ratio, now)
 }
 
-// next returns a speed with one more request in it.
-func (p speed) next(ratio float64, now time.Time) speed {
-	if p.ratio == 0 {
-		p.ratio = 1
-	}
-	return speed{ratio: p.ratio + (ratio-p.ratio)*smoothing, at: now}
-}
-
-// over returns by how much an instance is slower than usual, negative for a
-// faster one, less the longer ago that was seen.
-func (p speed) over(now time.Time, forget time.Duration) float64 {
-	if p.ratio == 0 {
-		return 0
-	}
-	return (p.ratio - 1) / (1 + float64(now.Sub(p.at))/float64(forget))
-}
-
 // Keep forgets the instances that a view no longer lists.
 func (b *Balancer) Keep(v *directory.View) {
 	b.mu.Lock()
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -26,11 +26,6 @@
 	// its usual milliseconds, and under what a slow source takes (some
 	// hundred milliseconds).
 	readWait = 2 * time.Second
-	// leastBackoff and mostBackoff bound the pause before asking a source that
-	// failed again. Every refused call is priced too; the upper bound keeps
-	// a node within two seconds of a configuration after the source is back.
-	leastBackoff = 50 * time.Millisecond
-	mostBackoff  = time.Second
 	// settleEvery is how often doubtful instances are looked at.
 	settleEvery = 250 * time.Millisecond
 )
@@ -52,23 +47,21 @@
 // Follow keeps d up to date with a source until ctx ends.
 func (d *Directory) Follow(ctx context.Context, src Source) {
 	go d.settle(ctx)
-	backoff := leastBackoff
+	var b backoff
 	for ctx.Err() == nil {
-		err := d.followOnce(ctx, src, func() { backoff = leastBackoff })
-		if ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, ErrHistoryLost) {
+		err := d.followOnce(ctx, src, &b)
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, ErrHistoryLost):
 			d.log.Warn("source_history_lost")
-			continue
+		default:
+			b.wait(ctx)
 		}
-		pause(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, mostBackoff)
 	}
 }
 
 // followOnce loads everything and watches from there until the source fails.
-func (d *Directory) followOnce(ctx context.Context, src Source, ok func()) error {
+func (d *Directory) followOnce(ctx context.Context, src Source, b *backoff) error {
 	asked := time.Now()
 	lctx, cancel := context.WithTimeout(ctx, readWait)
 	s, err := src.Load(lctx)
@@ -78,16 +71,15 @@
 		return err
 	}
 	d.Back()
-	ok()
+	b.reset()
 	d.Replace(s)
-	return d.watch(ctx, src, s.Revision, ok)
+	return d.watch(ctx, src, s.Revision, b)
 }
 
 // watch applies changes after a revision. A failed watch is asked again from
 // the same revision: the source cuts waiting watches now and then, and
 // reading everything again costs more.
-func (d *Directory) watch(ctx context.Context, src Source, after Revision, ok func()) error {
-	backoff := leastBackoff
+func (d *Directory) watch(ctx context.Context, src Source, after Revision, b *backoff) error {
 	for ctx.Err() == nil {
 		asked := time.Now()
 		wait := d.lookEvery()
@@ -104,12 +96,10 @@
 			after = d.Revision()
 		case err != nil:
 			d.Away(silentSince(asked, err), err)
-			pause(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, mostBackoff)
+			b.wait(ctx)
 		default:
-			backoff = leastBackoff
 			d.Back()
-			ok()
+			b.reset()
 			d.Apply(changes, next)
 			after = max(next, d.Revision())
 			if len(changes) > 0 {
@@ -175,12 +165,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -1,12 +1,9 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -27,14 +24,8 @@
 	// comeBackLeaving is when to come back to a node that is stopping; the
 	// caller's next request goes to another one by then.
 	comeBackLeaving = time.Second
-	// bodyDefault bounds one body until an operator's limit is known.
-	bodyDefault = 1 << 20
 )
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
 // request is a caller's request on its way.
 type request struct {
 	call.Request
@@ -183,80 +174,6 @@
 	return min(left, time.Duration(ms)*time.Millisecond), nil
 }
 
-// readBody reads a whole body within the operator's limit, the memory for all
-// bodies and the request's time: a caller that sends slowly, or stops, holds
-// its connection no longer than that.
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request, limit int64, until time.Time) ([]byte, *refusal) {
-	if r.ContentLength == 0 || r.Body == http.NoBody {
-		return nil, nil
-	}
-	if limit <= 0 {
-		limit = bodyDefault
-	}
-	if most := n.tuning.Load().BodyBytes; most > 0 && n.bodies.Load()+max(r.ContentLength, 0) > most {
-		return nil, &refusal{code: http.StatusServiceUnavailable, cause: causeBody, after: comeBackLeaving, why: "no memory for the body"}
-	}
-	conn := http.NewResponseController(w)
-	if err := conn.SetReadDeadline(until); err != nil {
-		n.log.WithError(err).Warn("body_unbounded_in_time")
-	}
-	var buf bytes.Buffer
-	_, err := io.Copy(&buf, http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &refusal{code: http.StatusRequestEntityTooLarge, cause: causeBody, why: err.Error()}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &refusal{code: http.StatusRequestTimeout, cause: causeBody, why: "body was not sent in time"}
-	case err != nil:
-		return nil, &refusal{code: http.StatusBadRequest, cause: causeBody, why: "body: " + err.Error()}
-	}
-	if err := conn.SetReadDeadline(time.Time{}); err != nil {
-		n.log.WithError(err).Warn("read_deadline_kept")
-	}
-	n.bodies.Add(int64(buf.Len()))
-	return buf.Bytes(), nil
-}
-
-// fields returns the headers that go on to the target; those that a node
-// sets itself are left out.
-func (n *Node) fields(h http.Header) []call.Field {
-	drop := map[string]bool{n.cfg.Headers.Deadline: true, n.cfg.Headers.ExpectedInstance: true,
-		n.cfg.Headers.CallerService: true, "Content-Length": true, "Host": true, "Expect": true}
-	return endToEnd(h, drop)
-}
-
-// endToEnd returns the headers of h that do not concern one connection only.
-func endToEnd(h http.Header, drop map[string]bool) []call.Field {
-	named := h["Connection"]
-	fs := make([]call.Field, 0, len(h))
-	for name, values := range h {
-		if drop[name] || isHopByHop(name, named) {
-			continue
-		}
-		for _, v := range values {
-			fs = append(fs, call.Field{Name: name, Value: v})
-		}
-	}
-	return fs
-}
-
-func isHopByHop(name string, connection []string) bool {
-	for _, h := range hopByHop {
-		if name == h {
-			return true
-		}
-	}
-	for _, line := range connection {
-		for _, token := range strings.Split(line, ",") {
-			if strings.EqualFold(strings.TrimSpace(token), name) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // draw returns evenly spread numbers in [0,1) for split routes: multiples of
 // the golden ratio, which keep every share near its weight over short times.
 func (n *Node) draw() float64 {
