Take a node's own stop for no outage, and log a VM list that cannot be read

A stopping node ends its waiting watches, and the controllers took the error for the platform's: oatpin demo ended with a warning of every node. Ruled out: a platform that stops first (demo stops it last). The VM list's controller logged nothing at all when it failed; it now tells when the list is lost and regained, as the text's does.

TestAStopIsNotTakenForAnOutage failed before with platform_unreachable.

--- a/node/config.go
+++ b/node/config.go
@@ -57,6 +57,9 @@
 func (n *Node) watchConfig() {
 	for !n.stopped() {
 		changed, err := n.pollPlatform()
+		if n.stopped() {
+			return // the watch ended by the node's own stop says nothing of the platform
+		}
 		if err != nil {
 			if !n.alone.Swap(true) {
 				n.log.WithError(err).Warn("platform_unreachable")
--- a/node/vms.go
+++ b/node/vms.go
@@ -22,12 +22,24 @@
 // While it cannot be read the last one stays in force: it is a hint.
 func (n *Node) watchVMs() {
 	var revision uint64
+	lost := false
 	for !n.stopped() {
 		next, err := n.pollVMs(revision)
+		if n.stopped() {
+			return
+		}
 		if err != nil {
+			if !lost {
+				n.log.WithError(err).WithField("revision", revision).Warn("vm_list_unreachable")
+			}
+			lost = true
 			n.pause(watchBackoff)
 			continue
 		}
+		if lost {
+			n.log.WithField("revision", next).Info("vm_list_reachable")
+		}
+		lost = false
 		if next != revision && revision != 0 {
 			n.pause(rand.N(rewatchSpread))
 		}
