Let a stopping node serve its peers for the first half of the time it stays up

Cause: a node that was told to stop sent peers' requests away at once, stayed up for 2.3 s so that callers notice, and peers kept off for 3 s: each restart took an instance out for three seconds, a third of a service with three.

Ruled out: too much load; the same load before and after is served whole.

The node now serves peers for 1.2 s more, and peers keep off for 2 s. What it takes meanwhile is done by its end, as the test of a stop that cuts nothing shows; the new test failed before (503 at once).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,8 +60,9 @@
 	// be reached; the next one after it shows whether it is back.
 	unreachablePause = time.Second
 	// leavingPause is the same for one that said it is leaving, and ends
-	// because its node may only be restarted.
-	leavingPause = 3 * time.Second
+	// because its node may only be restarted: a stopping node sends requests
+	// away for its last second and is back within one more.
+	leavingPause = 2 * time.Second
 )
 
 type (
--- a/sidecar/leaving.go
+++ b/sidecar/leaving.go
@@ -9,6 +9,12 @@
 	// platform asks each second whether it is ready, and sends no new work
 	// after two answers that it is not.
 	noticeTime = 2300 * time.Millisecond
+	// peersAfter is when a stopping node begins to send peers' requests away.
+	// It stays up for noticeTime in any case, and what it takes in the first
+	// half of that is done by its end; sending them away at once would leave
+	// the instance without work for three seconds at each restart, a third
+	// of the room of a service with three instances.
+	peersAfter = 1200 * time.Millisecond
 	// refuseAfter is when a stopping node begins to refuse callers' new
 	// requests: what it accepts later than this could still run when its
 	// grace ends.
--- a/sidecar/lifetime_test.go
+++ b/sidecar/lifetime_test.go
@@ -39,8 +39,8 @@
 }
 
 // A node gets SIGTERM while its target works on a request that came from
-// another node, and new requests still come for a while. None may be cut;
-// peers move to other instances at once.
+// another node, and new requests still come for a while. None may be cut, and
+// the process ends in its grace.
 func TestAStopCutsNothing(t *testing.T) {
 	m := newMesh(t, "versand", "archiv", "archiv")
 	Convey("What runs ends, what comes is answered, the process ends in its grace", t, func() {
@@ -82,6 +82,25 @@
 	})
 }
 
+// Nodes are restarted one after the other. Each stays up for two seconds so
+// that callers notice, and its instance, a third of its service, would have
+// nothing to do meanwhile while the others refuse reads for want of room.
+func TestAStoppingNodeGivesItsInstanceWorkForAWhile(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("Peers' requests are served at first, then sent away unrun, and none is cut", t, func() {
+		stopped := make(chan struct{})
+		go func() { m.vms[1].node.Shutdown(context.Background()); close(stopped) }()
+		time.Sleep(20 * time.Millisecond)
+		_, got := m.get(m.vms[0], "/read/x")
+		So(got.code, ShouldEqual, http.StatusOK)
+		time.Sleep(peersAfter)
+		id, got := m.get(m.vms[0], "/read/x")
+		So(got.code, ShouldEqual, http.StatusServiceUnavailable)
+		So(m.vms[1].target.runs(id), ShouldEqual, 0)
+		<-stopped
+	})
+}
+
 // The store does not tell one node of a change and tells the other. The
 // first hears from the second's answers that it is behind, and catches up.
 func TestANodeThatIsBehindCatchesUp(t *testing.T) {
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -30,7 +30,7 @@
 	if r.HTTP == nil {
 		return call.Refuse(r, "not a request by route", 0)
 	}
-	if _, leaving := n.leavingSince(); leaving {
+	if since, leaving := n.leavingSince(); leaving && since > peersAfter {
 		a := call.Refuse(r, "node is leaving", 0)
 		a.Leaving = true
 		return a
