--- /dev/null
+++ b/soak/faults_test.go
@@ -0,0 +1,106 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// fault is one kind of trouble; it lasts until the function returns.
+type fault func(d *deployment, v *vm, r *rand.Rand)
+
+// faults are drawn with equal chance.
+var faults = []fault{stopAndStart, killAndStart, pause, hangUp, newTarget, drain,
+	cutPeers, cutPeers, cutStore, resetLinks, forget, changeRoutes}
+
+// inject draws faults for a time, on any node and several at once, and waits
+// until the last one is over.
+func (d *deployment) inject(r *rand.Rand, d0 time.Duration) {
+	var wg sync.WaitGroup
+	for until := time.Now().Add(d0); time.Now().Before(until); time.Sleep(between(r, 50, 400)) {
+		f, v := faults[r.IntN(len(faults))], d.vms[r.IntN(len(d.vms))]
+		own := rand.New(rand.NewPCG(r.Uint64(), 0))
+		wg.Go(func() { f(d, v, own) })
+	}
+	wg.Wait()
+}
+
+// between draws a time in milliseconds.
+func between(r *rand.Rand, least, most int) time.Duration {
+	return time.Duration(least+r.IntN(most-least)) * time.Millisecond
+}
+
+func stopAndStart(d *deployment, v *vm, _ *rand.Rand) {
+	v.fault.Lock()
+	defer v.fault.Unlock()
+	v.cmd.Process.Signal(syscall.SIGTERM)
+	d.end(v, grace+endSlack)
+	d.run(v)
+}
+
+func killAndStart(d *deployment, v *vm, r *rand.Rand) {
+	v.fault.Lock()
+	defer v.fault.Unlock()
+	v.unplanned.begin()
+	v.cmd.Process.Kill()
+	v.cmd.Wait()
+	time.Sleep(between(r, 0, 800))
+	d.run(v)
+	v.unplanned.end()
+}
+
+func pause(_ *deployment, v *vm, r *rand.Rand) {
+	v.fault.Lock()
+	defer v.fault.Unlock()
+	v.unplanned.begin()
+	v.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(between(r, 100, 1500))
+	v.cmd.Process.Signal(syscall.SIGCONT)
+	v.unplanned.end()
+}
+
+// hangUp overlaps with other faults: a signal may come at any moment after
+// the process has set itself up for it.
+func hangUp(_ *deployment, v *vm, _ *rand.Rand) {
+	if !v.fault.TryLock() {
+		return
+	}
+	defer v.fault.Unlock()
+	time.Sleep(time.Second)
+	v.cmd.Process.Signal(syscall.SIGHUP)
+}
+
+func newTarget(d *deployment, v *vm, _ *rand.Rand) {
+	v.fault.Lock()
+	defer v.fault.Unlock()
+	d.replaceTarget(v)
+}
+
+// drain announces that an instance leaves and takes that back.
+func drain(d *deployment, v *vm, r *rand.Rand) {
+	v.fault.Lock()
+	defer v.fault.Unlock()
+	in := v.instance
+	in.Leaving = true
+	d.must(d.store.PutInstance(in))
+	time.Sleep(between(r, 200, 1500))
+	d.must(d.store.PutInstance(v.instance))
+}
+
+func cutPeers(_ *deployment, v *vm, r *rand.Rand) { cut(v.peers, r) }
+func cutStore(_ *deployment, v *vm, r *rand.Rand) { cut(v.toStore, r) }
+
+func cut(p *Proxy, r *rand.Rand) {
+	p.Set(Mode(r.IntN(int(modeLast)) + 1))
+	time.Sleep(between(r, 100, 2500))
+	p.Set(Pass)
+}
+
+func resetLinks(_ *deployment, v *vm, _ *rand.Rand) {
+	v.peers.Reset()
+	v.toStore.Reset()
+}
+
+func forget(d *deployment, _ *vm, _ *rand.Rand)       { d.store.ForgetHistory() }
+func changeRoutes(d *deployment, _ *vm, _ *rand.Rand) { d.changeRoutes() }
