--- a/slots/gate_test.go
+++ b/slots/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -223,3 +224,34 @@
 		g.Leave(time.Millisecond)
 	}
 }
+
+// BenchmarkEnterWaiting measures a request's way through a full gate in which
+// a hundred others wait.
+func BenchmarkEnterWaiting(b *testing.B) {
+	g := NewGate(1)
+	ctx := context.Background()
+	far := time.Now().Add(time.Hour)
+	if _, err := g.Enter(ctx, Ticket{Deadline: far}); err != nil {
+		b.Fatal(err)
+	}
+	for i := range 100 {
+		go g.Enter(ctx, Ticket{Level: admit.LevelOf(2, call.RequestID(rune('a'+i))), Begun: true, Deadline: far})
+	}
+	for g.Load().Queued < 100 {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		done := make(chan struct{})
+		go func() {
+			g.Enter(ctx, Ticket{Deadline: far})
+			close(done)
+		}()
+		for g.Load().Queued < 101 {
+			runtime.Gosched()
+		}
+		g.Leave(0)
+		<-done
+	}
+	g.Close()
+}
