--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -62,7 +62,7 @@
 func newStats(node string) *stats { return &stats{set: metrics.NewSet(), node: node} }
 
 // get returns what was made for a key, and makes it at its first use.
-func (m *byKey[K, V]) get(k K, make func() V) V {
+func (m *byKey[K, V]) get(k K, build func() V) V {
 	m.mu.RLock()
 	v, ok := m.made[k]
 	m.mu.RUnlock()
@@ -77,7 +77,7 @@
 	if m.made == nil {
 		m.made = map[K]V{}
 	}
-	v = make()
+	v = build()
 	m.made[k] = v
 	return v
 }
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -201,17 +201,17 @@
 
 // violations returns every promise that was seen broken.
 func (d *deployment) violations() []string {
-	broken := append([]string{}, d.late...)
+	all := append([]string{}, d.late...)
 	for _, o := range d.outcomes() {
-		if why := d.broken(o, d.runs(o.id)); why != "" {
-			broken = append(broken, fmt.Sprintf("%s at node-%d, read %t, code %d, error %v: %s", o.id, o.vm.n, o.read, o.code, o.err, why))
+		if why := broken(o, d.runs(o.id)); why != "" {
+			all = append(all, fmt.Sprintf("%s at node-%d, read %t, code %d, error %v: %s", o.id, o.vm.n, o.read, o.code, o.err, why))
 		}
 	}
-	return broken
+	return all
 }
 
 // broken says which promise one outcome breaks.
-func (d *deployment) broken(o outcome, runs int) string {
+func broken(o outcome, runs int) string {
 	most := 1
 	if o.read {
 		most = maxInstances
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -76,16 +76,16 @@
 	for _, p := range []*int{&d.ports.peer, &d.ports.target, &d.ports.callers, &d.ports.ready, &d.ports.metrics, &d.ports.store} {
 		*p = freePort(t)
 	}
-	l, err := net.Listen("tcp", d.addr(0, 0, d.ports.store))
+	l, err := net.Listen("tcp", addr(0, 0, d.ports.store))
 	d.must(err)
 	d.srv = &http.Server{Handler: d.store}
 	go d.srv.Serve(l)
 	d.changeRoutes()
 	for n := range 6 {
 		v := &vm{n: n + 1, service: []string{"archiv", "versand"}[n%2], dc: callgraph.DC([]string{"nord", "sued"}[n/3]), unplanned: &spans{}}
-		v.peers, err = NewProxy(d.addr(1, v.n, d.ports.peer), d.addr(2, v.n, d.ports.peer))
+		v.peers, err = NewProxy(addr(1, v.n, d.ports.peer), addr(2, v.n, d.ports.peer))
 		d.must(err)
-		v.toStore, err = NewProxy(d.addr(3, v.n, d.ports.store), l.Addr().String())
+		v.toStore, err = NewProxy(addr(3, v.n, d.ports.store), l.Addr().String())
 		d.must(err)
 		d.replaceTarget(v)
 		d.run(v)
@@ -98,7 +98,7 @@
 // addr is an address on one of the deployment's networks: 0 the store's, 1
 // the one at which nodes and targets are known to each other, 2 the nodes'
 // own, 3 the ways to the store.
-func (d *deployment) addr(network, n, port int) string {
+func addr(network, n, port int) string {
 	return fmt.Sprintf("127.0.%d.%d:%d", 40+network, n+1, port)
 }
 
@@ -126,8 +126,8 @@
 // run starts a node's process.
 func (d *deployment) run(v *vm) {
 	text := fmt.Sprintf("[sidecar]\nname=node-%d\ndc=%s\nservice=%s\ntarget=%s\ncallers=%s\npeer=%s\nready=%s\nmetrics=%s\nstore=%s\nmemory_mb=128\ngrace=%s\n",
-		v.n, v.dc, v.service, v.instance.Addr, d.callersAddr(v), d.addr(2, v.n, d.ports.peer), d.addr(2, v.n, d.ports.ready),
-		d.addr(2, v.n, d.ports.metrics), d.addr(3, v.n, d.ports.store), grace)
+		v.n, v.dc, v.service, v.instance.Addr, d.callersAddr(v), addr(2, v.n, d.ports.peer), addr(2, v.n, d.ports.ready),
+		addr(2, v.n, d.ports.metrics), addr(3, v.n, d.ports.store), grace)
 	path := filepath.Join(d.dir, fmt.Sprintf("node-%d.ini", v.n))
 	d.must(os.WriteFile(path, []byte(text), 0o644))
 	logs, err := os.OpenFile(filepath.Join(d.dir, fmt.Sprintf("node-%d.jsonl", v.n)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -138,7 +138,7 @@
 	d.must(v.cmd.Start())
 }
 
-func (d *deployment) callersAddr(v *vm) string { return d.addr(2, v.n, d.ports.callers) }
+func (d *deployment) callersAddr(v *vm) string { return addr(2, v.n, d.ports.callers) }
 
 // replaceTarget ends the target beside a node, if there is one, and starts
 // another instance at its address, which the store lists instead.
@@ -152,7 +152,7 @@
 	d.ids++
 	id := fmt.Sprintf("i-%d", d.ids)
 	d.mu.Unlock()
-	v.instance = directory.Instance{ID: directory.InstanceID(id), Service: v.service, DC: v.dc, Addr: d.addr(1, v.n, d.ports.target), Slots: slots}
+	v.instance = directory.Instance{ID: directory.InstanceID(id), Service: v.service, DC: v.dc, Addr: addr(1, v.n, d.ports.target), Slots: slots}
 	var err error
 	v.target, err = NewTarget(id, v.instance.Addr, platform.Headers)
 	d.must(err)
