--- a/admit/board.go
+++ b/admit/board.go
@@ -43,7 +43,7 @@
 )
 
 // NewBoard returns an empty Board.
-func NewBoard() *Board { return &Board{ceil: parts - 1, routes: map[string]*entry{}} }
+func NewBoard() *Board { return &Board{ceil: Parts - 1, routes: map[string]*entry{}} }
 
 // See notes a request's level. Thresholds are kept only up to the end of the
 // lowest rank in use: one beyond it refuses nothing, and a mean that came down
@@ -51,7 +51,7 @@
 func (b *Board) See(l call.Level) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ceil := float64((RankOf(l)+1)*parts - 1)
+	ceil := float64((RankOf(l)+1)*Parts - 1)
 	if ceil <= b.ceil {
 		return
 	}
--- a/admit/level.go
+++ b/admit/level.go
@@ -6,18 +6,16 @@
 )
 
 const (
-	// parts is how finely the requests of one rank are told apart: refusing
+	// Parts is how finely the requests of one rank are told apart: refusing
 	// one part more or less changes a rank's load by 1/16, under the noise
 	// of arrivals at one target.
-	parts = 16
+	Parts = 16
 	// maxRank is the lowest rank told apart.
 	maxRank = 7
-	levels  = (maxRank + 1) * parts
+	levels  = (maxRank + 1) * Parts
 
 	// Top is the level up to which everything is admitted.
 	Top call.Level = levels - 1
-	// Parts is how many parts a rank has.
-	Parts = parts
 )
 
 // LevelOf returns a request's level: its rank and, within it, a part drawn
@@ -25,11 +23,11 @@
 // would refuse is refused as a whole and not after half its calls.
 func LevelOf(priority int, id call.RequestID) call.Level {
 	rank := max(0, min(priority, maxRank))
-	return call.Level(rank*parts) + call.Level(xxhash.Sum64String(string(id))%parts)
+	return call.Level(rank*Parts) + call.Level(xxhash.Sum64String(string(id))%Parts)
 }
 
 // RankOf returns the rank of a level, 0 to be served first.
-func RankOf(l call.Level) int { return int(min(l, Top)) / parts }
+func RankOf(l call.Level) int { return int(min(l, Top)) / Parts }
 
 // PartOf returns a level's part within its rank, from 0 to Parts-1.
-func PartOf(l call.Level) int { return int(min(l, Top)) % parts }
+func PartOf(l call.Level) int { return int(min(l, Top)) % Parts }
--- a/admit/meter_test.go
+++ b/admit/meter_test.go
@@ -71,12 +71,12 @@
 		Convey("Excess at levels already refused changes nothing", t, func() {
 			for i := range 500 {
 				for j := range 16 {
-					m.Arrive(call.Level(2*parts+(i+j)%parts), 60*time.Millisecond, 0)
+					m.Arrive(call.Level(2*Parts+(i+j)%Parts), 60*time.Millisecond, 0)
 				}
 				time.Sleep(10 * time.Millisecond)
 			}
 			// 1,600 a second of one rank: ten of its sixteen parts fit.
-			So(m.Threshold(), ShouldBeBetweenOrEqual, 2*parts+7, 2*parts+10)
+			So(m.Threshold(), ShouldBeBetweenOrEqual, 2*Parts+7, 2*Parts+10)
 		})
 	})
 }
@@ -86,7 +86,7 @@
 		m := NewMeter(10)
 		Convey("Waiting work counts as demand", t, func() {
 			for i := range 750 {
-				m.Arrive(call.Level(i%parts), 16*time.Millisecond, 5*time.Second)
+				m.Arrive(call.Level(i%Parts), 16*time.Millisecond, 5*time.Second)
 				time.Sleep(2 * time.Millisecond)
 			}
 			// Eight slots of demand in sixteen parts; 9.8 slots less the 4.7
@@ -188,10 +188,10 @@
 	Convey("Each priority has levels of its own, and an id always the same one", t, func() {
 		for i := range 100 {
 			id := call.RequestID(fmt.Sprint(i))
-			So(LevelOf(1, id), ShouldBeBetweenOrEqual, parts, 2*parts-1)
+			So(LevelOf(1, id), ShouldBeBetweenOrEqual, Parts, 2*Parts-1)
 			So(LevelOf(1, id), ShouldEqual, LevelOf(1, id))
 			So(LevelOf(99, id), ShouldBeLessThanOrEqualTo, Top)
-			So(LevelOf(-1, id), ShouldBeLessThan, parts)
+			So(LevelOf(-1, id), ShouldBeLessThan, Parts)
 			So(RankOf(LevelOf(1, id)), ShouldEqual, 1)
 		}
 	})
