Tell starts of one instance apart, and pass over entries of other writers

Cause: an instance may start again under its id; speed, failures, load and draining were kept by id and went on counting against the new start, and a late report of the former could replace it. An entry for a service that does not exist could hide the live instance at its address. Ruled out: requiring the start time; instances of some customers do not say it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -73,7 +73,7 @@
 
 		mu     sync.Mutex
 		usual  map[string]time.Duration // mean time of each route's requests
-		states map[directory.InstanceID]*state
+		states map[directory.Start]*state
 	}
 
 	// Ask is a request to be sent to one of several instances.
@@ -112,7 +112,7 @@
 
 // New returns a Balancer for a node in a data centre.
 func New(dc callgraph.DC) *Balancer {
-	return &Balancer{dc: dc, usual: map[string]time.Duration{}, states: map[directory.InstanceID]*state{}}
+	return &Balancer{dc: dc, usual: map[string]time.Duration{}, states: map[directory.Start]*state{}}
 }
 
 // Pick chooses an instance for a request and counts the request as
@@ -130,7 +130,7 @@
 		if in.Leaving || (certain && in.Doubtful) || contains(a.Tried, in.ID) {
 			continue
 		}
-		s := b.state(in.ID)
+		s := b.state(in.Start())
 		cost := b.cost(in, s, now) + b.tightness(&a, s, now)
 		if now.Before(s.avoidUntil) {
 			if avoided < 0 || cost < avoidedCost {
@@ -151,7 +151,7 @@
 	if best < 0 {
 		return directory.Instance{}, false
 	}
-	b.state(a.Instances[best].ID).outstanding++
+	b.state(a.Instances[best].Start()).outstanding++
 	return a.Instances[best], true
 }
 
@@ -164,11 +164,12 @@
 	return tightCost * part * s.byRoute[a.Route].over(now, routeForget)
 }
 
-// Done notes how a request to an instance ended.
-func (b *Balancer) Done(id directory.InstanceID, o Outcome) {
+// Done notes how a request to an instance ended; at is the start that it was
+// sent to.
+func (b *Balancer) Done(at directory.Start, o Outcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(id)
+	s := b.state(at)
 	s.outstanding--
 	now := time.Now()
 	switch {
@@ -203,22 +204,22 @@
 	s.byRoute[o.Route] = s.byRoute[o.Route].next(ratio, now)
 }
 
-// Keep forgets the instances that a view no longer lists.
+// Keep forgets the starts of instances that a view no longer lists.
 func (b *Balancer) Keep(v *directory.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, s := range b.states {
-		if _, ok := v.Find(id); !ok && s.outstanding == 0 {
-			delete(b.states, id)
+	for at, s := range b.states {
+		if in, ok := v.Find(at.ID); (!ok || in.Started != at.At) && s.outstanding == 0 {
+			delete(b.states, at)
 		}
 	}
 }
 
-func (b *Balancer) state(id directory.InstanceID) *state {
-	s := b.states[id]
+func (b *Balancer) state(at directory.Start) *state {
+	s := b.states[at]
 	if s == nil {
 		s = &state{byRoute: map[string]speed{}}
-		b.states[id] = s
+		b.states[at] = s
 	}
 	return s
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -23,7 +23,7 @@
 		in, ok := b.Pick(Ask{Instances: instances})
 		So(ok, ShouldBeTrue)
 		count[in.ID]++
-		b.Done(in.ID, end(in.ID))
+		b.Done(in.Start(), end(in.ID))
 		time.Sleep(time.Millisecond)
 	}
 	return count
@@ -113,7 +113,7 @@
 						near++
 						o.Took *= slow
 					}
-					b.Done(in.ID, o)
+					b.Done(in.Start(), o)
 					time.Sleep(time.Millisecond)
 				}
 				return near
@@ -143,7 +143,7 @@
 						near++
 						o.Took = usual * 3 / 2
 					}
-					b.Done(in.ID, o)
+					b.Done(in.Start(), o)
 					time.Sleep(10 * time.Millisecond)
 				}
 				return near
@@ -154,15 +154,15 @@
 			So(run(Ask{Route: "read"}, 400*time.Millisecond, 300), ShouldBeGreaterThan, 270)
 			Convey("But not to one that is full", func() {
 				in, _ := b.Pick(approve)
-				b.Done(in.ID, Outcome{})
-				b.states["far"].load = *loadOf(60)
+				b.Done(in.Start(), Outcome{})
+				b.states[directory.Start{ID: "far"}].load = *loadOf(60)
 				near := 0
 				for range 100 {
 					in, _ := b.Pick(approve)
 					if in.ID == "near" {
 						near++
 					}
-					b.Done(in.ID, Outcome{})
+					b.Done(in.Start(), Outcome{})
 				}
 				So(near, ShouldBeGreaterThan, 90)
 			})
@@ -178,13 +178,13 @@
 		Convey("It is left alone for a second, unless nothing else is left", t, func() {
 			b := New("nord")
 			in, _ := b.Pick(Ask{Instances: instances})
-			b.Done(in.ID, Outcome{Unreachable: true})
+			b.Done(in.Start(), Outcome{Unreachable: true})
 			fine := func(directory.InstanceID) Outcome { return Outcome{Load: loadOf(1)} }
 			So(picks(b, 500, fine)["near"], ShouldEqual, 0)
 			in, ok := b.Pick(Ask{Instances: instances, Tried: []directory.InstanceID{"far"}})
 			So(ok, ShouldBeTrue)
 			So(in.ID, ShouldEqual, directory.InstanceID("near"))
-			b.Done("near", Outcome{Unreachable: true})
+			b.Done(directory.Start{ID: "near"}, Outcome{Unreachable: true})
 			time.Sleep(unreachablePause)
 			So(picks(b, 10, fine)["near"], ShouldEqual, 10)
 		})
@@ -233,6 +233,40 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		in, _ := bal.Pick(Ask{Instances: ins})
-		bal.Done(in.ID, Outcome{Took: time.Millisecond})
+		bal.Done(in.Start(), Outcome{Took: time.Millisecond})
 	}
 }
+
+// An instance turned slow and failed, was crowded, and starts again under
+// its id. Nothing of that is true of the new start; the requests that the
+// former one still has end later and must not count for it either.
+func TestANewStartIsKnownForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The new start gets the requests of the near one again", t, func() {
+			b := New("nord")
+			first := []directory.Instance{{ID: "near", DC: "nord", Slots: 60, Started: 1000}, {ID: "far", DC: "sued", Slots: 60, Started: 1000}}
+			var late []directory.Instance
+			for range 100 {
+				in, _ := b.Pick(Ask{Instances: first})
+				if in.ID == "near" && len(late) < 10 {
+					late = append(late, in)
+					continue
+				}
+				b.Done(in.Start(), Outcome{Failed: in.ID == "near", Load: loadOf(50)})
+			}
+			again := []directory.Instance{{ID: "near", DC: "nord", Slots: 60, Started: 2000}, first[1]}
+			for _, in := range late {
+				b.Done(in.Start(), Outcome{Failed: true, Leaving: true})
+			}
+			near := 0
+			for range 100 {
+				in, _ := b.Pick(Ask{Instances: again})
+				if in.ID == "near" {
+					near++
+				}
+				b.Done(in.Start(), Outcome{Took: time.Millisecond, Load: loadOf(5)})
+			}
+			So(near, ShouldEqual, 100)
+		})
+	})
+}
--- a/balance/health.go
+++ b/balance/health.go
@@ -33,6 +33,13 @@
 	h.failing += (bad - h.failing) * smoothing
 }
 
+// Reset forgets all requests: the instance they went to is no more.
+func (h *Health) Reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failing, h.at = 0, time.Time{}
+}
+
 // Failing returns the part that fails, less the longer ago the last failure
 // is.
 func (h *Health) Failing() float64 {
--- a/directory/codec.go
+++ b/directory/codec.go
@@ -11,6 +11,7 @@
 	Revision  Revision          `msgpack:"revision"`
 	Version   callgraph.Version `msgpack:"version"` // 0 when no routes are known
 	Limits    Limits            `msgpack:"limits"`
+	Services  []Service         `msgpack:"services"`
 	Routes    []Route           `msgpack:"routes"`
 	Instances []Instance        `msgpack:"instances"`
 }
@@ -19,7 +20,7 @@
 func Encode(s Snapshot) ([]byte, error) {
 	e := encoded{Revision: s.Revision, Instances: s.Instances}
 	if s.Routes != nil {
-		e.Version, e.Limits = s.Routes.Version, s.Routes.Limits
+		e.Version, e.Limits, e.Services = s.Routes.Version, s.Routes.Limits, s.Routes.Services
 		for _, rts := range s.Routes.hosts {
 			e.Routes = append(e.Routes, rts...)
 		}
@@ -40,6 +41,8 @@
 		return s, nil
 	}
 	var err error
-	s.Routes, err = NewRoutes(e.Version, e.Limits, e.Routes)
+	if s.Routes, err = NewRoutes(e.Version, e.Limits, e.Routes); err == nil {
+		s.Routes.Services = e.Services
+	}
 	return s, err
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,6 +27,10 @@
 		Gone     InstanceID
 		GoneAt   Revision // of Gone
 		Routes   *Routes
+		// Refused is the instance that an entry was listed for that cannot be
+		// read, or that is no instance's. It names none to use, and what was
+		// known under its id holds.
+		Refused InstanceID
 	}
 
 	// Snapshot is everything a source listed at a revision.
@@ -34,6 +38,7 @@
 		Revision  Revision
 		Routes    *Routes
 		Instances []Instance
+		Refused   []InstanceID // as in a Change
 	}
 
 	// Directory keeps the newest knowledge of one deployment. It is safe for
@@ -50,6 +55,7 @@
 		graceEnds time.Time                // after an outage
 		listed    bool                     // a snapshot was applied
 		revision  Revision                 // up to which everything is known
+		refused   int                      // entries, since the start
 		jumped    chan struct{}            // of one: revision moved on by another way than the watch
 		onChange  []func(*View)
 	}
@@ -86,6 +92,10 @@
 	defer d.mu.Unlock()
 	d.adopt(s.Routes)
 	there := map[InstanceID]bool{}
+	for _, id := range s.Refused {
+		there[id] = true
+	}
+	d.refused += len(s.Refused)
 	for _, in := range s.Instances {
 		there[in.ID] = true
 		d.put(in)
@@ -138,6 +148,8 @@
 			d.put(*c.Instance)
 		case c.Gone != "":
 			d.remove(c.Gone, c.GoneAt)
+		case c.Refused != "":
+			d.refused++
 		}
 	}
 	d.publish()
@@ -153,15 +165,18 @@
 	d.log.WithField("version", r.Version).Info("routes_in_force")
 }
 
+// put takes over an entry that is newer than the one held. Of two starts
+// under one id the later counts, whichever entry was written last: a report
+// of the former can reach the source after the first of the next.
 func (d *Directory) put(in Instance) {
 	old, known := d.instances[in.ID]
-	if known && old.Revision > in.Revision {
+	if known && (in.Started < old.Started || (in.Started == old.Started && old.Revision > in.Revision)) {
 		return
 	}
 	delete(d.doubtful, in.ID)
 	d.instances[in.ID] = in
-	if !known || old.Leaving != in.Leaving {
-		d.log.WithFields(log.Fields{"instance": in.ID, "service": in.Service, "leaving": in.Leaving, "revision": in.Revision}).Info("instance_listed")
+	if !known || old.Leaving != in.Leaving || old.Started != in.Started {
+		d.log.WithFields(log.Fields{"instance": in.ID, "started": in.Started, "service": in.Service, "leaving": in.Leaving, "revision": in.Revision}).Info("instance_listed")
 	}
 }
 
@@ -255,6 +270,13 @@
 	return s
 }
 
+// Refused returns how many entries were read that name no instance.
+func (d *Directory) Refused() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.refused
+}
+
 // SourceAway reports whether the source did not answer when last asked.
 func (d *Directory) SourceAway() bool {
 	d.mu.Lock()
--- a/directory/instances.go
+++ b/directory/instances.go
@@ -7,16 +7,28 @@
 )
 
 type (
-	// InstanceID names one start of an instance; the next start at the same
-	// address has another.
+	// InstanceID names an instance. One that starts again may keep it; its
+	// Start tells the two apart.
 	InstanceID string
 
+	// UnixMilli is a moment in milliseconds since 1970; 0 where the instance
+	// does not say.
+	UnixMilli int64
+
+	// Start names one start of an instance. Whatever is known of how an
+	// instance does belongs to a start: the next one holds nothing of it.
+	Start struct {
+		ID InstanceID
+		At UnixMilli
+	}
+
 	// Revision orders the changes of a source.
 	Revision uint64
 
 	// Instance is one running instance of a service.
 	Instance struct {
 		ID       InstanceID
+		Started  UnixMilli
 		Service  string
 		DC       callgraph.DC
 		Addr     string // host:port, reachable from its own VM only
@@ -37,9 +49,15 @@
 	}
 )
 
+// newView leaves out instances of services that the routes in force do not
+// name: an entry of another writer could otherwise hide the instance that is
+// at its address.
 func newView(routes *Routes, ids map[InstanceID]Instance) *View {
 	v := &View{Routes: routes, services: map[string][]Instance{}, byAddr: map[string]Instance{}, ids: map[InstanceID]Instance{}}
 	for id, in := range ids {
+		if !routes.names(in.Service) {
+			continue
+		}
 		v.ids[id] = in
 		if old, ok := v.byAddr[in.Addr]; !ok || old.Since < in.Since {
 			v.byAddr[in.Addr] = in
@@ -51,6 +69,9 @@
 	return v
 }
 
+// Start returns which start of the instance this is.
+func (in *Instance) Start() Start { return Start{ID: in.ID, At: in.Started} }
+
 // Instances returns the instances of a service, leaving ones included; the
 // caller must not change it. Of the instances listed at one address only the
 // latest is there: after a loss of power the entries of those that ended stay
--- a/directory/routes.go
+++ b/directory/routes.go
@@ -49,11 +49,19 @@
 		IdleTimeout   time.Duration
 	}
 
+	// Service is a service that a version of the routes names.
+	Service struct {
+		Name       string
+		HealthPath string // of its instances; empty if they have none
+	}
+
 	// Routes is one version of the routes of a deployment.
 	Routes struct {
 		Version callgraph.Version
 		Limits  Limits
-		hosts   map[string][]Route // longest prefix first
+		// Services are those there are; nil where the source names none.
+		Services []Service
+		hosts    map[string][]Route // longest prefix first
 	}
 )
 
@@ -76,6 +84,24 @@
 	return r, nil
 }
 
+// names reports whether the routes name a service; none known name all.
+func (r *Routes) names(service string) bool {
+	if r == nil || r.Services == nil {
+		return true
+	}
+	_, ok := r.service(service)
+	return ok
+}
+
+func (r *Routes) service(name string) (Service, bool) {
+	for _, s := range r.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
 func (rt *Route) problems() []error {
 	var ps []error
 	bad := func(what string) { ps = append(ps, eris.Errorf("route %s: %s", rt.Name, what)) }
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -114,7 +114,7 @@
 	if a.Status == call.Unknown && !n.blames(ctx, q, time.Since(sent)) {
 		o.Failed = false
 	}
-	n.balancer.Done(in.ID, o)
+	n.balancer.Done(in.Start(), o)
 	n.stats.tried(q.Service, a.Status, time.Since(sent))
 	if a.Load != nil {
 		n.board.Told(q.route.Name, a.Load.Admit)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -190,6 +190,12 @@
 		return
 	}
 	old := n.self.Swap(&in)
+	if old != nil && old.Start() != in.Start() {
+		// What failed, and what the open connections lead to, ended with
+		// the start before.
+		n.health.Reset()
+		n.target.Close()
+	}
 	if old == nil || old.Slots != in.Slots {
 		usable := int(float64(in.Slots) * usableSlots)
 		n.gate.SetLimit(usable)
