Admit kinds of request of a rank by what they take of the scarce slots

Cause: within a rank all kinds were cut by the same part, and at the gate the calls of running requests went before all new ones.

--- a/admit/level.go
+++ b/admit/level.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"github.com/cespare/xxhash/v2"
 	"github.com/oatpin/oatpin/call"
 )
 
@@ -18,13 +17,10 @@
 	Top call.Level = levels - 1
 )
 
-// LevelOf returns a request's level: its rank and, within it, a part drawn
-// from its id. All nodes draw the same part, so a request that one target
-// would refuse is refused as a whole and not after half its calls.
-func LevelOf(priority int, id call.RequestID) call.Level {
-	rank := max(0, min(priority, maxRank))
-	return call.Level(rank*Parts) + call.Level(xxhash.Sum64String(string(id))%Parts)
-}
+// LevelOf returns the level of a request of which nothing but its priority is
+// known: its rank and, within it, a part drawn from its id. All nodes draw
+// the same part.
+func LevelOf(priority int, id call.RequestID) call.Level { return levelOf(priority, id, 1) }
 
 // RankOf returns the rank of a level, 0 to be served first.
 func RankOf(l call.Level) int { return int(min(l, Top)) / Parts }
--- a/call/http.go
+++ b/call/http.go
@@ -61,5 +61,8 @@
 		Limit    int      // requests it may work on at once
 		Admit    Level    // up to which the target, and those it calls, can serve what comes
 		Failing  float64  // part of its latest requests that the target failed, 0 to 1
+		// Scarce is the slot time that the request took, with all its calls,
+		// at targets that are short of room.
+		Scarce time.Duration
 	}
 )
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -54,14 +54,28 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	a := n.forward(ctx, q)
-	if q.HTTP.Begun && a.Status != call.OK {
-		n.running.broke(q.ID)
+	n.account(q, a)
+	n.write(w, q, a)
+}
+
+// account notes how a request ended.
+func (n *Node) account(q *request, a call.Answer) {
+	took := time.Since(q.entered)
+	n.stats.answered(q.route, q.Service, a.Status, took)
+	var scarce time.Duration
+	if a.Load != nil {
+		scarce = a.Load.Scarce
 	}
-	n.stats.answered(q.route, q.Service, a.Status, time.Since(q.entered))
-	if a.Status == call.OK {
-		n.usual.Took(q.route.Name, time.Since(q.entered))
+	if q.HTTP.Begun {
+		n.running.called(q.ID, a.Status != call.OK, scarce)
+	}
+	if a.Status != call.OK {
+		return
+	}
+	n.usual.Took(q.route.Name, took)
+	if !q.HTTP.Begun && scarce > 0 {
+		n.costs.Took(q.route.Name, q.route.Priority, scarce)
 	}
-	n.write(w, q, a)
 }
 
 // accept reads and checks a request; a refusal has run nothing.
@@ -127,7 +141,7 @@
 		n.board.Called(p.route, rt.Name)
 		return origin{level: p.level, begun: true, repeat: p.repeat}
 	}
-	level := admit.LevelOf(rt.Priority, id)
+	level := n.costs.Level(rt.Name, rt.Priority, id)
 	n.board.See(level)
 	return origin{level: level}
 }
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -84,6 +84,7 @@
 		meter    *admit.Meter
 		health   balance.Health // of the local target
 		board    *admit.Board
+		costs    *admit.Costs // of whole requests that began here
 		running  *running
 		target   *targetconn.Pool
 		peers    *wire.Pool
@@ -126,6 +127,7 @@
 		usual:    slots.NewWork(),
 		meter:    admit.NewMeter(firstSlots),
 		board:    admit.NewBoard(),
+		costs:    admit.NewCosts(),
 		running:  newRunning(),
 		target:   targetconn.NewPool(targetconn.Config{Addr: cfg.Target, Headers: cfg.Headers}),
 		peerPort: port,
--- a/sidecar/running.go
+++ b/sidecar/running.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/oatpin/oatpin/call"
 )
@@ -22,7 +23,8 @@
 		route  string
 		level  call.Level
 		repeat bool
-		broken bool // a call made for it has failed
+		broken bool          // a call made for it has failed
+		scarce time.Duration // slot time its calls took at targets short of room
 	}
 )
 
@@ -43,8 +45,9 @@
 	return v
 }
 
-// broke notes that a call made for a running request has failed.
-func (r *running) broke(callID call.RequestID) {
+// called notes how a call made for a running request ended, and the slot time
+// it took at targets that are short of room.
+func (r *running) called(callID call.RequestID, failed bool, scarce time.Duration) {
 	parent, ok := parentID(callID)
 	if !ok {
 		return
@@ -52,7 +55,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if v, ok := r.byID[parent]; ok {
-		v.broken = true
+		v.broken = v.broken || failed
+		v.scarce += scarce
 		r.byID[parent] = v
 	}
 }
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/slots"
 	"github.com/oatpin/oatpin/targetconn"
@@ -57,7 +58,7 @@
 	deadline, _ := ctx.Deadline()
 	n.board.See(r.HTTP.Level)
 	n.meter.Arrive(r.HTTP.Level, n.work.Mean(r.Operation, firstWork), n.gate.Waiting())
-	waited, err := n.gate.Enter(ctx, slots.Ticket{Level: r.HTTP.Level, Begun: r.HTTP.Begun, Deadline: deadline, Patience: r.HTTP.Patience})
+	waited, err := n.gate.Enter(ctx, slots.Ticket{Level: r.HTTP.Level, Begun: r.HTTP.Begun, Last: !n.board.Calls(r.Operation), Deadline: deadline, Patience: r.HTTP.Patience})
 	n.stats.waited(r.HTTP.Begun, err == nil, waited)
 	if err != nil {
 		a := call.Refuse(r, "target: "+err.Error()+" after "+waited.String(), 0)
@@ -75,14 +76,21 @@
 	began := time.Now()
 	a := n.callTarget(ctx, r, deadline)
 	took := time.Since(began)
-	n.health.Note(n.targetFailed(ctx, r, a, n.running.remove(r.ID), took))
+	was := n.running.remove(r.ID)
+	n.health.Note(n.targetFailed(ctx, r, a, was, took))
+	scarce := was.scarce
+	if n.meter.Threshold() < admit.Top {
+		scarce += took
+	}
 	if a.Status != call.OK {
 		took = 0
 	} else {
 		n.work.Took(r.Operation, took)
 	}
 	n.gate.Leave(took)
-	return n.withLoad(r, a)
+	a = n.withLoad(r, a)
+	a.Load.Scarce = scarce
+	return a
 }
 
 // targetFailed reports whether the local target failed a request by itself:
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -33,6 +33,7 @@
 	Ticket struct {
 		Level    call.Level
 		Begun    bool // a call of a request that already runs
+		Last     bool // a request that makes no calls: once let in, it is done
 		Deadline time.Time
 		// Patience is how long it may wait at most; 0 for its deadline.
 		Patience time.Duration
@@ -206,7 +207,10 @@
 // level is a ticket's place in the queue: by rank, so that a full target
 // never makes an approval wait for reads; within a rank calls of requests
 // that already run before new ones, since refusing one of them wastes all
-// that ran above it; and within these by the part drawn from the request.
+// that ran above it; and within these by the part drawn from the request. A
+// new request that makes no calls is in the place of such a call: with its
+// turn the whole of it is done. Behind all calls it would only ever get what
+// the chains leave, and where these fill the target that is nothing.
 //
 // A request that makes ten calls waits in the queue ten times. In order of
 // arrival all wait the same, and in a surge none gets its last call done in
@@ -215,7 +219,7 @@
 // everywhere without waiting and are finished, and the others end early.
 func level(t Ticket) int {
 	l := 2 * admit.RankOf(t.Level)
-	if !t.Begun {
+	if !t.Begun && !t.Last {
 		l++
 	}
 	return l*admit.Parts + admit.PartOf(t.Level)
