Let the node beside an instance vouch for it when its entry lapsed

Now a node whose entry list loses an instance without a word asks the node beside it, each half second. That one knows whether the store answers on its VM and, by the instance's own health check and id, whether it is there.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -204,6 +204,15 @@
 	s.byRoute[o.Route] = s.byRoute[o.Route].next(ratio, now)
 }
 
+// Knows reports whether requests were sent to a start of an instance, or it
+// was weighed for one.
+func (b *Balancer) Knows(at directory.Start) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, ok := b.states[at]
+	return ok
+}
+
 // Keep forgets the starts of instances that a view no longer lists.
 func (b *Balancer) Keep(v *directory.View) {
 	b.mu.Lock()
--- a/call/http.go
+++ b/call/http.go
@@ -14,6 +14,7 @@
 		ExpectedInstance string // any other instance refuses the request unrun
 		NotExecuted      string // on an answer to a request that the target did not run
 		CallerService    string // service of the VM at which the request began
+		Instance         string // on the answer of a health check: which instance gave it
 	}
 
 	// Field is one header line.
--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -35,17 +35,18 @@
 		defer out.Close()
 		lg := (&log.Logger{Handler: out, Level: log.InfoLevel}).WithField("process", s.Name)
 		dir := directory.New(lg)
+		store := platform.NewStore(s.Store, lg)
 		n, err := sidecar.New(sidecar.Config{
 			Name: s.Name, DC: s.DC, Service: s.Service, Target: s.Target, Callers: s.Callers, Peer: s.Peer,
 			Control: s.Control, Seeds: s.Seeds, Ready: s.Ready, Metrics: s.Metrics,
-			Headers: platform.Headers, Tuning: tuning(s), Grace: s.Grace, Directory: dir, Log: lg,
+			Headers: platform.Headers, Tuning: tuning(s), Grace: s.Grace, Directory: dir, Source: store, Log: lg,
 		})
 		if err != nil {
 			return err
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		go dir.Follow(ctx, platform.NewStore(s.Store, lg))
+		go dir.Follow(ctx, store)
 		go reloadOnHangup(ctx, path, s, n, lg)
 		return runUntilSignal(n.Serve, n.Shutdown)
 	},
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -17,6 +17,10 @@
 	// source is back. Live instances are back in the list within about two
 	// seconds; half a second covers the way here.
 	returnGrace = 2500 * time.Millisecond
+	// askGrace is how long any other entry that goes without having said that
+	// it leaves is kept as doubtful: the node beside the instance is asked
+	// meanwhile, and answers within a quarter of a second.
+	askGrace = 600 * time.Millisecond
 )
 
 type (
@@ -50,20 +54,21 @@
 		mu        sync.Mutex // guards the fields below
 		routes    *Routes
 		instances map[InstanceID]Instance
-		doubtful  map[InstanceID]time.Time // listed no more, kept until
-		awaySince time.Time                // zero while the source answers
-		graceEnds time.Time                // after an outage
-		listed    bool                     // a snapshot was applied
-		revision  Revision                 // up to which everything is known
-		refused   int                      // entries, since the start
-		jumped    chan struct{}            // of one: revision moved on by another way than the watch
+		unlisted  map[InstanceID]unlisted // kept all the same, for a while
+		awaySince time.Time               // zero while the source answers
+		lostAt    time.Time               // when it was last known not to
+		graceEnds time.Time               // after an outage
+		listed    bool                    // a snapshot was applied
+		revision  Revision                // up to which everything is known
+		refused   int                     // entries, since the start
+		jumped    chan struct{}           // of one: revision moved on by another way than the watch
 		onChange  []func(*View)
 	}
 )
 
 // New returns a Directory that knows nothing yet.
 func New(l log.Interface) *Directory {
-	d := &Directory{log: l, instances: map[InstanceID]Instance{}, doubtful: map[InstanceID]time.Time{}, jumped: make(chan struct{}, 1)}
+	d := &Directory{log: l, instances: map[InstanceID]Instance{}, unlisted: map[InstanceID]unlisted{}, jumped: make(chan struct{}, 1)}
 	d.view.Store(newView(nil, nil))
 	return d
 }
@@ -173,38 +178,48 @@
 	if known && (in.Started < old.Started || (in.Started == old.Started && old.Revision > in.Revision)) {
 		return
 	}
-	delete(d.doubtful, in.ID)
+	delete(d.unlisted, in.ID)
 	d.instances[in.ID] = in
 	if !known || old.Leaving != in.Leaving || old.Started != in.Started {
 		d.log.WithFields(log.Fields{"instance": in.ID, "started": in.Started, "service": in.Service, "leaving": in.Leaving, "revision": in.Revision}).Info("instance_listed")
 	}
 }
 
+// remove takes an entry off the list. An instance that said it leaves is
+// gone. Any other may only have lost touch with the source: it stays as
+// doubtful, used only where a service has no others, until the node beside it
+// has been asked, or for as long as it may take to be listed again.
 func (d *Directory) remove(id InstanceID, at Revision) {
 	in, ok := d.instances[id]
 	if !ok || in.Revision > at {
 		return
 	}
-	if time.Now().Before(d.graceEnds) {
-		if _, already := d.doubtful[id]; !already {
-			d.doubtful[id] = d.graceEnds
-			d.log.WithFields(log.Fields{"instance": id, "kept_until": d.graceEnds}).Info("instance_doubtful")
-		}
+	if in.Leaving {
+		d.drop(id, "left")
+		return
+	}
+	if _, already := d.unlisted[id]; already {
 		return
 	}
-	d.drop(id, "removed from the list")
+	until := time.Now().Add(askGrace)
+	if d.graceEnds.After(until) {
+		until = d.graceEnds
+	}
+	d.unlisted[id] = unlisted{until: until}
+	d.log.WithFields(log.Fields{"instance": id, "revision": at, "kept_until": until}).Info("instance_unlisted")
 }
 
 func (d *Directory) drop(id InstanceID, why string) {
 	delete(d.instances, id)
-	delete(d.doubtful, id)
+	delete(d.unlisted, id)
 	d.log.WithFields(log.Fields{"instance": id, "why": why}).Info("instance_gone")
 }
 
 // publish makes the state the current view.
 func (d *Directory) publish() {
 	for id, in := range d.instances {
-		_, in.Doubtful = d.doubtful[id]
+		u, ok := d.unlisted[id]
+		in.Unlisted, in.Doubtful = ok, ok && !u.vouched
 		d.instances[id] = in
 	}
 	v := newView(d.routes, d.instances)
@@ -218,6 +233,7 @@
 func (d *Directory) Away(since time.Time, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.lostAt = time.Now()
 	if d.awaySince.IsZero() {
 		d.awaySince = since
 		d.log.WithError(err).Warn("source_lost")
@@ -243,29 +259,16 @@
 	d.log.WithField("away_ms", away.Milliseconds()).Info("source_regained")
 }
 
-// Settle drops the doubtful instances whose time is up; call it now and then.
-func (d *Directory) Settle() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now, dropped := time.Now(), false
-	for id, until := range d.doubtful {
-		if !now.Before(until) {
-			d.drop(id, "not listed again after an outage")
-			dropped = true
-		}
-	}
-	if dropped {
-		d.publish()
-	}
-}
-
-// Snapshot returns everything known, for another node that knows less.
+// Snapshot returns everything listed, for another node that knows less. What
+// is kept beyond that is this node's own belief.
 func (d *Directory) Snapshot() Snapshot {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := Snapshot{Revision: d.revision, Routes: d.routes}
-	for _, in := range d.instances {
-		s.Instances = append(s.Instances, in)
+	for id, in := range d.instances {
+		if _, ok := d.unlisted[id]; !ok {
+			s.Instances = append(s.Instances, in)
+		}
 	}
 	return s
 }
@@ -277,6 +280,14 @@
 	return d.refused
 }
 
+// SourceLost returns when the source was last known not to answer; zero for
+// never.
+func (d *Directory) SourceLost() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lostAt
+}
+
 // SourceAway reports whether the source did not answer when last asked.
 func (d *Directory) SourceAway() bool {
 	d.mu.Lock()
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -34,8 +34,9 @@
 	// its usual milliseconds, and under what a slow source takes (some
 	// hundred milliseconds).
 	readWait = 2 * time.Second
-	// settleEvery is how often doubtful instances are looked at.
-	settleEvery = 250 * time.Millisecond
+	// settleEvery is how often unlisted instances are looked at: a vouch must
+	// not outlast its term by much.
+	settleEvery = 100 * time.Millisecond
 )
 
 // ErrHistoryLost is returned by a watch after a revision whose following
@@ -50,6 +51,8 @@
 	// with the revision to go on from. The error is ErrHistoryLost when the
 	// source cannot tell them any more.
 	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error)
+	// Listed reports whether an instance has an entry now.
+	Listed(ctx context.Context, id InstanceID) (bool, error)
 }
 
 // Follow keeps d up to date with a source until ctx ends.
@@ -178,7 +181,7 @@
 	return time.Now()
 }
 
-// settle drops doubtful instances in time.
+// settle drops unlisted instances in time.
 func (d *Directory) settle(ctx context.Context) {
 	t := time.NewTicker(settleEvery)
 	defer t.Stop()
--- a/directory/instances.go
+++ b/directory/instances.go
@@ -34,7 +34,8 @@
 		Addr     string // host:port, reachable from its own VM only
 		Slots    int    // requests it serves at once
 		Leaving  bool   // takes no new requests
-		Doubtful bool   // not listed since an outage of the source; only for want of another
+		Unlisted bool   // its entry went, without a word that it leaves
+		Doubtful bool   // and nobody vouches for it: only for want of another
 		ColdTill time.Time
 		Since    Revision // at which it was first listed
 		Revision Revision // at which its entry last changed
@@ -59,7 +60,7 @@
 			continue
 		}
 		v.ids[id] = in
-		if old, ok := v.byAddr[in.Addr]; !ok || old.Since < in.Since {
+		if old, ok := v.byAddr[in.Addr]; !ok || in.follows(&old) {
 			v.byAddr[in.Addr] = in
 		}
 	}
@@ -69,6 +70,15 @@
 	return v
 }
 
+// follows reports whether an instance is the later one at an address that
+// both have: one that is listed, or the one listed later.
+func (in *Instance) follows(old *Instance) bool {
+	if in.Unlisted != old.Unlisted {
+		return old.Unlisted
+	}
+	return old.Since < in.Since
+}
+
 // Start returns which start of the instance this is.
 func (in *Instance) Start() Start { return Start{ID: in.ID, At: in.Started} }
 
@@ -79,6 +89,16 @@
 // instance that is no more.
 func (v *View) Instances(service string) []Instance { return v.services[service] }
 
+// HealthPath returns the path at which the instances of a service answer
+// whether they are well; empty if none is known.
+func (v *View) HealthPath(service string) string {
+	if v.Routes == nil {
+		return ""
+	}
+	s, _ := v.Routes.service(service)
+	return s.HealthPath
+}
+
 // At returns the instance at an address, the latest where several are listed.
 func (v *View) At(addr string) (Instance, bool) {
 	in, ok := v.byAddr[addr]
@@ -91,5 +111,16 @@
 	return in, ok
 }
 
+// Unlisted returns how many instances are kept though their entries went.
+func (v *View) Unlisted() int {
+	n := 0
+	for _, in := range v.ids {
+		if in.Unlisted {
+			n++
+		}
+	}
+	return n
+}
+
 // All returns every instance known.
 func (v *View) All() map[InstanceID]Instance { return v.ids }
--- a/directory/spread_test.go
+++ b/directory/spread_test.go
@@ -49,6 +49,8 @@
 	}
 }
 
+func (s *withholding) Listed(context.Context, InstanceID) (bool, error) { return true, nil }
+
 // The operator submits two versions shortly after each other. The store tells
 // every node of the first and, just as its history is cut, nobody of the
 // second. All nodes ask anew in the same moment, so all go on waiting for as
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
 	"github.com/apex/log"
@@ -11,7 +10,6 @@
 	"github.com/oatpin/oatpin/balance"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
-	"github.com/oatpin/oatpin/wire"
 )
 
 const (
@@ -157,11 +155,10 @@
 	if in.Addr == n.cfg.Target {
 		return n.serveLocal(ctx, r), true
 	}
-	host, _, err := net.SplitHostPort(in.Addr)
+	peer, err := n.peerOf(in)
 	if err != nil {
-		return call.Refuse(r, "instance address "+in.Addr, 0), false
+		return call.Refuse(r, err.Error(), 0), false
 	}
-	peer := wire.Peer{Name: string(in.ID), Addr: net.JoinHostPort(host, n.peerPort)}
 	// A connection can close between Get and Call, before anything is
 	// written; the second Get dials anew.
 	for range 2 {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -18,6 +18,7 @@
 	"github.com/oatpin/oatpin/slots"
 	"github.com/oatpin/oatpin/targetconn"
 	"github.com/oatpin/oatpin/timeline"
+	"github.com/oatpin/oatpin/vouch"
 	"github.com/oatpin/oatpin/wire"
 	"github.com/rotisserie/eris"
 )
@@ -59,7 +60,10 @@
 		// Grace is how long the process may go on after it is told to stop.
 		Grace     time.Duration
 		Directory *directory.Directory
-		Log       log.Interface
+		// Source is asked whether the local instance is listed when its entry
+		// went; nil for never.
+		Source directory.Source
+		Log    log.Interface
 	}
 
 	// Tuning is the part of a Config that can change while a Node runs.
@@ -86,6 +90,8 @@
 		board    *admit.Board
 		costs    *admit.Costs // of whole requests that began here
 		running  *running
+		witness  *vouch.Witness // of the local instance
+		asking   asking         // the nodes of unlisted instances
 		target   *targetconn.Pool
 		peers    *wire.Pool
 		peerPort string
@@ -100,6 +106,7 @@
 		bodies   atomic.Int64 // bytes of callers' bodies held
 		active   atomic.Int64 // callers' requests being answered
 		catching atomic.Bool  // a peer is being asked for its snapshot
+		vouching atomic.Bool  // the last word given for the local instance
 		leaving  atomic.Int64 // unix nanoseconds of the stop's begin, 0 before
 		self     atomic.Pointer[directory.Instance]
 
@@ -133,8 +140,10 @@
 		peerPort: port,
 		stats:    newStats(cfg.Name),
 		windows:  map[string]*budget.Window{},
+		asking:   asking{starts: map[directory.Start]bool{}},
 		stop:     make(chan struct{}),
 	}
+	n.witness = vouch.NewWitness(vouch.Config{Listed: n.listed, Probe: n.probe, SourceLost: n.dir.SourceLost})
 	n.tuning.Store(&cfg.Tuning)
 	n.peers = wire.NewPool(wire.PoolConfig{From: cfg.Name, Log: cfg.Log, OnVersion: n.heardRevision})
 	n.wire = wire.Server{Handler: n.servePeer, Version: n.revision}
@@ -186,11 +195,15 @@
 // learn takes over what changed about the local target.
 func (n *Node) learn(v *directory.View) {
 	n.balancer.Keep(v)
+	n.askAfter(v)
 	in, ok := v.At(n.cfg.Target)
 	if !ok {
 		n.self.Store(nil)
 		return
 	}
+	if !in.Unlisted {
+		n.witness.See(in)
+	}
 	old := n.self.Swap(&in)
 	if old != nil && old.Start() != in.Start() {
 		// What failed, and what the open connections lead to, ended with
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -25,8 +25,11 @@
 
 // servePeer serves a request that came from another node.
 func (n *Node) servePeer(ctx context.Context, r call.Request) call.Answer {
-	if r.Operation == snapshotOperation {
+	switch r.Operation {
+	case snapshotOperation:
 		return n.serveSnapshot(r)
+	case vouchOperation:
+		return n.serveVouch(ctx, r)
 	}
 	if r.HTTP == nil {
 		return call.Refuse(r, "not a request by route", 0)
@@ -140,6 +143,9 @@
 	got, err := n.target.Do(ctx, &targetconn.Request{ID: r.ID, Method: r.HTTP.Method, Host: r.HTTP.Host, URI: r.HTTP.URI, Header: h, Body: r.Body})
 	switch {
 	case errors.Is(err, targetconn.ErrNotSent):
+		if errors.Is(err, targetconn.ErrNobody) {
+			n.witness.Ended()
+		}
 		return call.Refuse(r, err.Error(), 0)
 	case err != nil:
 		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), Reached: true}
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -140,6 +140,7 @@
 	gauge("oatpin_admitted_level", func() float64 { return float64(n.meter.Threshold()) })
 	gauge("oatpin_routes_version", func() float64 { return float64(n.version()) })
 	gauge("oatpin_directory_revision", func() float64 { return float64(n.revision()) })
+	gauge("oatpin_instances_unlisted", func() float64 { return float64(n.dir.View().Unlisted()) })
 	gauge("oatpin_entries_refused", func() float64 { return float64(n.dir.Refused()) })
 	gauge("oatpin_source_away", func() float64 {
 		if n.dir.SourceAway() {
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -42,6 +43,9 @@
 var (
 	// ErrNotSent means that no byte of the request was written.
 	ErrNotSent = eris.New("target could not be reached")
+	// ErrNobody, beside ErrNotSent, means that nothing listens at the target's
+	// address.
+	ErrNobody = eris.New("nothing listens at the target's address")
 	// ErrNoAnswer means that the request was written, in part or whole, and
 	// no whole answer to it came: it may have run.
 	ErrNoAnswer = eris.New("no whole answer from the target")
@@ -106,6 +110,9 @@
 // which most targets stop the work.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
 	c, err := p.get(ctx)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, errors.Join(ErrNotSent, ErrNobody)
+	}
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
--- /dev/null
+++ b/vouch/doc.go
@@ -0,0 +1,4 @@
+// Package vouch decides whether the node beside an instance may speak for it
+// to other nodes after the instance's entry has gone from the list, and for
+// how long such a word holds.
+package vouch
