Wait in the test of a paused node until it stands still

Cause: TestPausedAndKilledNodeStoresNothingTwice failed once beside load (a note that was sent after SIGSTOP was stored). SIGSTOP is given to one thread; on a busy machine that one waits for a core, and the others run on meanwhile. Nothing is asked for less: the same calls and the same answers.

--- a/cmd/oatpin/process_test.go
+++ b/cmd/oatpin/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -271,6 +272,7 @@
 		key := call.NewKey("halle-nord")
 		proc := f.procs["archiv-1"].Process
 		So(proc.Signal(syscall.SIGSTOP), ShouldBeNil)
+		So(waitStopped(proc.Pid), ShouldBeTrue)
 		So(store(key, "500"), ShouldEqual, string(call.Unknown))
 		time.Sleep(2 * time.Second) // past the 500 ms and the 1 s of clock skew
 		So(proc.Signal(syscall.SIGCONT), ShouldBeNil)
@@ -293,6 +295,34 @@
 	})
 }
 
+// waitStopped waits up to 5 s until every thread of a process stands still.
+// On a busy machine the thread that a SIGSTOP was given to may have to wait
+// for a core, and the others run on until it had one.
+func waitStopped(pid int) bool {
+	for range 500 {
+		if stopped(pid) {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+func stopped(pid int) bool {
+	stats, err := filepath.Glob("/proc/" + strconv.Itoa(pid) + "/task/*/stat")
+	if err != nil || len(stats) == 0 {
+		return false
+	}
+	for _, f := range stats {
+		b, err := os.ReadFile(f)
+		_, state, ok := strings.Cut(string(b), ") ")
+		if err != nil || !ok || state[0] != 'T' {
+			return false
+		}
+	}
+	return true
+}
+
 // waitStatus waits up to 5 s until a GET of url answers with code.
 func (*fleet) waitStatus(url string, code int) bool {
 	for range 100 {
