Make each policy a value of the settings, so that it can be switched off alone

What each decision is worth could not be measured without editing code. Each is now a value that its module is built from (an order, weights, a function of a request's times), chosen in one place, sidecar/policies.go, by a [policies] section that is checked like all settings; what is off is another value. Behaviour with all on is unchanged: same tests, defaults equal the constants before.

--- a/admit/board.go
+++ b/admit/board.go
@@ -27,6 +27,14 @@
 )
 
 type (
+	// Admission says up to which level new requests on a route are admitted.
+	Admission interface {
+		Threshold(route string) call.Level
+	}
+
+	// Everyone admits all.
+	Everyone struct{}
+
 	// Board keeps, for each route, the threshold that answers told, and which
 	// routes a route's requests call. It is safe for concurrent use.
 	Board struct {
@@ -42,6 +50,9 @@
 	}
 )
 
+// Threshold implements Admission.
+func (Everyone) Threshold(string) call.Level { return Top }
+
 // NewBoard returns an empty Board.
 func NewBoard() *Board { return &Board{ceil: Parts - 1, routes: map[string]*entry{}} }
 
--- a/admit/cost.go
+++ b/admit/cost.go
@@ -33,6 +33,19 @@
 	routes map[string]*cost
 }
 
+// Levels gives new requests their levels.
+type Levels interface {
+	Level(route string, priority int, id call.RequestID) call.Level
+}
+
+// Even draws the levels of all routes alike.
+type Even struct{}
+
+// Level implements Levels.
+func (Even) Level(_ string, priority int, id call.RequestID) call.Level {
+	return LevelOf(priority, id)
+}
+
 type cost struct {
 	rank  int
 	taken time.Duration // mean slot time of a whole request
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -28,12 +28,24 @@
 	comeBackShare = 3
 )
 
-// Times is what is known of a request's time.
-type Times struct {
-	Left   time.Duration // how long its caller still waits
-	Target time.Duration // the latency its route aims at; 0 for none
-	Usual  time.Duration // what its route's requests usually take; 0 if not known
-}
+type (
+	// Wait decides a time by what is known of a request's: how long it may
+	// wait for its turn, or when a refused caller is to come back.
+	Wait func(Times) time.Duration
+
+	// Times is what is known of a request's time.
+	Times struct {
+		Left   time.Duration // how long its caller still waits
+		Target time.Duration // the latency its route aims at; 0 for none
+		Usual  time.Duration // what its route's requests usually take; 0 if not known
+	}
+)
+
+// AllItsTime lets a request wait as long as its caller does.
+func AllItsTime(t Times) time.Duration { return max(t.Left, 0) }
+
+// InASecond has every refused caller come back after the same time.
+func InASecond(Times) time.Duration { return time.Second }
 
 // Patience is how long a new request may wait for its turn. Once a queue
 // stands, waiting serves nobody more: as many are served in a second as
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -66,10 +66,27 @@
 )
 
 type (
+	// Weights are what counts against an instance besides the part of its
+	// slots in use, in such parts. One of zero leaves its matter out.
+	Weights struct {
+		Far     float64 // for one in another data centre
+		Fail    float64 // for one whose answers all fail
+		Told    float64 // of what its node tells of its failures, 0 to 1
+		Slow    float64 // for each time that it is slower than usual
+		Tight   float64 // the same for an action, by the part of its time it takes
+		Explore int     // one of so many actions goes to any sound instance; 0 for none
+	}
+
+	// Config is what a Balancer is built from.
+	Config struct {
+		DC      callgraph.DC // of the node
+		Weights Weights
+	}
+
 	// Balancer keeps what is known of each instance's behaviour. It is safe
 	// for concurrent use.
 	Balancer struct {
-		dc callgraph.DC
+		cfg Config
 
 		mu     sync.Mutex
 		usual  map[string]time.Duration // mean time of each route's requests
@@ -110,9 +127,14 @@
 	}
 )
 
-// New returns a Balancer for a node in a data centre.
-func New(dc callgraph.DC) *Balancer {
-	return &Balancer{dc: dc, usual: map[string]time.Duration{}, states: map[directory.Start]*state{}}
+// Usual are the weights that are measured to serve best.
+func Usual() Weights {
+	return Weights{Far: farCost, Fail: failCost, Told: 1, Slow: slowCost, Tight: tightCost, Explore: exploreOne}
+}
+
+// New returns a Balancer that knows no instance.
+func New(cfg Config) *Balancer {
+	return &Balancer{cfg: cfg, usual: map[string]time.Duration{}, states: map[directory.Start]*state{}}
 }
 
 // Pick chooses an instance for a request and counts the request as
@@ -121,7 +143,7 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	explore := a.Once && rand.N(exploreOne) == 0
+	explore := a.Once && b.cfg.Weights.Explore > 0 && rand.N(b.cfg.Weights.Explore) == 0
 	certain := anyCertain(a.Instances)
 	best, avoided := -1, -1
 	var bestCost, avoidedCost float64
@@ -138,7 +160,7 @@
 			}
 			continue
 		}
-		if explore && s.failing() < sound && s.used(in) < roomy {
+		if explore && b.failing(s) < sound && s.used(in) < roomy {
 			cost = rand.Float64() - exploreFirst
 		}
 		if best < 0 || cost < bestCost {
@@ -161,7 +183,7 @@
 		return 0
 	}
 	part := min(1, float64(b.usual[a.Route])/float64(a.Time))
-	return tightCost * part * s.byRoute[a.Route].over(now, routeForget)
+	return b.cfg.Weights.Tight * part * s.byRoute[a.Route].over(now, routeForget)
 }
 
 // Done notes how a request to an instance ended; at is the start that it was
@@ -240,11 +262,11 @@
 	if now.Before(in.ColdTill) {
 		c *= coldFactor
 	}
-	if in.DC != b.dc {
-		c += farCost
+	if in.DC != b.cfg.DC {
+		c += b.cfg.Weights.Far
 	}
-	c += failCost * s.failing()
-	c += min(slowMost, slowCost*s.slow.over(now, slowForget))
+	c += b.cfg.Weights.Fail * b.failing(s)
+	c += min(slowMost, b.cfg.Weights.Slow*s.slow.over(now, slowForget))
 	return c + jitter*rand.Float64()
 }
 
@@ -262,7 +284,9 @@
 // what got lost on the way; the instance's node sees the requests of all
 // callers, and tells of an instance that fails after a few of them, where
 // each caller by itself would have to lose a dozen to know.
-func (s *state) failing() float64 { return max(s.health.Failing(), faded(s.told, s.toldAt)) }
+func (b *Balancer) failing(s *state) float64 {
+	return max(s.health.Failing(), b.cfg.Weights.Told*faded(s.told, s.toldAt))
+}
 
 // anyCertain reports whether some instance is there for certain.
 func anyCertain(instances []directory.Instance) bool {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -34,7 +34,7 @@
 func TestTheNearInstanceIsFilledBeforeTheFarOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Bytes between data centres are dear, waiting is dearer", t, func() {
-			b := New("nord")
+			b := New(Config{DC: "nord", Weights: Usual()})
 			fine := func(directory.InstanceID) Outcome { return Outcome{Took: time.Millisecond, Load: loadOf(10)} }
 			So(picks(b, 100, fine)["near"], ShouldEqual, 100)
 			busy := func(id directory.InstanceID) Outcome {
@@ -54,7 +54,7 @@
 func TestAnInstanceThatFailsGetsFewRequestsUntilItMends(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Failures drive requests away, for a while", t, func() {
-			b := New("nord")
+			b := New(Config{DC: "nord", Weights: Usual()})
 			n := 0
 			grey := func(id directory.InstanceID) Outcome {
 				n++
@@ -77,7 +77,7 @@
 func TestAnInstanceWhoseNodeTellsOfFailuresIsLeftAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("One answer that tells is enough, and it is believed for a while", t, func() {
-			b := New("nord")
+			b := New(Config{DC: "nord", Weights: Usual()})
 			told := func(id directory.InstanceID) Outcome {
 				l := loadOf(10)
 				if id == "near" {
@@ -99,7 +99,7 @@
 func TestASlowInstanceGetsFewRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Speed is told apart from the mix of requests", t, func() {
-			b := New("nord")
+			b := New(Config{DC: "nord", Weights: Usual()})
 			slow := time.Duration(1)
 			run := func(n int) int {
 				near := 0
@@ -133,7 +133,7 @@
 func TestATightActionGoesToAFastInstance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("Approvals go to the far, fast instance, reads to the near one", t, func() {
-			b := New("nord")
+			b := New(Config{DC: "nord", Weights: Usual()})
 			run := func(a Ask, usual time.Duration, n int) (near int) {
 				a.Instances = instances
 				for range n {
@@ -176,7 +176,7 @@
 func TestAnUnreachableInstanceIsPassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("It is left alone for a second, unless nothing else is left", t, func() {
-			b := New("nord")
+			b := New(Config{DC: "nord", Weights: Usual()})
 			in, _ := b.Pick(Ask{Instances: instances})
 			b.Done(in.Start(), Outcome{Unreachable: true})
 			fine := func(directory.InstanceID) Outcome { return Outcome{Load: loadOf(1)} }
@@ -193,7 +193,7 @@
 
 func TestLeavingAndTriedInstancesGetNothing(t *testing.T) {
 	Convey("Neither an instance that leaves nor one already asked is picked", t, func() {
-		b := New("nord")
+		b := New(Config{DC: "nord", Weights: Usual()})
 		leaving := []directory.Instance{{ID: "a", Leaving: true}, {ID: "b"}}
 		in, ok := b.Pick(Ask{Instances: leaving})
 		So(ok, ShouldBeTrue)
@@ -208,7 +208,7 @@
 // missing, they are all there is until they are listed again.
 func TestDoubtfulInstancesAreTheLastResort(t *testing.T) {
 	Convey("A doubtful instance is picked only where no other is left at all", t, func() {
-		b := New("nord")
+		b := New(Config{DC: "nord", Weights: Usual()})
 		some := []directory.Instance{{ID: "a", Doubtful: true}, {ID: "b"}}
 		in, ok := b.Pick(Ask{Instances: some})
 		So(ok, ShouldBeTrue)
@@ -225,7 +225,7 @@
 // BenchmarkPick measures choosing among the instances of a service at the
 // size to design for: 1,100 instances in 120 services.
 func BenchmarkPick(b *testing.B) {
-	bal := New("nord")
+	bal := New(Config{DC: "nord", Weights: Usual()})
 	var ins []directory.Instance
 	for i := range 10 {
 		ins = append(ins, directory.Instance{ID: directory.InstanceID(rune('a' + i)), DC: "nord", Slots: 100})
@@ -243,7 +243,7 @@
 func TestANewStartIsKnownForNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("The new start gets the requests of the near one again", t, func() {
-			b := New("nord")
+			b := New(Config{DC: "nord", Weights: Usual()})
 			first := []directory.Instance{{ID: "near", DC: "nord", Slots: 60, Started: 1000}, {ID: "far", DC: "sued", Slots: 60, Started: 1000}}
 			var late []directory.Instance
 			for range 100 {
--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -34,12 +34,16 @@
 		out := timeline.NewAsync(os.Stdout)
 		defer out.Close()
 		lg := (&log.Logger{Handler: out, Level: log.InfoLevel}).WithField("process", s.Name)
-		dir := directory.New(lg)
+		p, err := loadPolicies(path)
+		if err != nil {
+			return err
+		}
+		dir := directory.New(p.Directory(lg))
 		store := platform.NewStore(s.Store, lg)
 		n, err := sidecar.New(sidecar.Config{
 			Name: s.Name, DC: s.DC, Service: s.Service, Target: s.Target, Callers: s.Callers, Peer: s.Peer,
 			Control: s.Control, Seeds: s.Seeds, Ready: s.Ready, Metrics: s.Metrics,
-			Headers: platform.Headers, Tuning: tuning(s), Grace: s.Grace, Directory: dir, Source: store, Log: lg,
+			Headers: platform.Headers, Tuning: tuning(s), Policies: p, Grace: s.Grace, Directory: dir, Source: store, Log: lg,
 		})
 		if err != nil {
 			return err
@@ -58,6 +62,13 @@
 	return s, err
 }
 
+// loadPolicies reads the [policies] section, which may be missing.
+func loadPolicies(path string) (sidecar.Policies, error) {
+	p := sidecar.Usual()
+	err := settings.LoadOptional(path, "policies", &p)
+	return p, err
+}
+
 // tuning is the part of the settings that a reload puts in force.
 func tuning(s settings.Sidecar) sidecar.Tuning {
 	return sidecar.Tuning{
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -45,9 +45,24 @@
 		Refused   []InstanceID // as in a Change
 	}
 
+	// Config is what a Directory is built from; the zero value keeps nothing
+	// that is not listed and spreads no watches.
+	Config struct {
+		// AskGrace is how long an entry that goes without a word is kept while
+		// the node beside the instance is asked; 0 for not at all.
+		AskGrace time.Duration
+		// ReturnGrace is how long one is that is missing after an outage of
+		// the source; 0 for not at all.
+		ReturnGrace time.Duration
+		// Spread draws the watch after a change evenly from its whole time.
+		Spread bool
+		Log    log.Interface
+	}
+
 	// Directory keeps the newest knowledge of one deployment. It is safe for
 	// concurrent use.
 	Directory struct {
+		cfg  Config
 		log  log.Interface
 		view atomic.Pointer[View]
 
@@ -66,9 +81,14 @@
 	}
 )
 
+// Usual is the configuration that is measured to serve best.
+func Usual(l log.Interface) Config {
+	return Config{AskGrace: askGrace, ReturnGrace: returnGrace, Spread: true, Log: l}
+}
+
 // New returns a Directory that knows nothing yet.
-func New(l log.Interface) *Directory {
-	d := &Directory{log: l, instances: map[InstanceID]Instance{}, unlisted: map[InstanceID]unlisted{}, jumped: make(chan struct{}, 1)}
+func New(cfg Config) *Directory {
+	d := &Directory{cfg: cfg, log: cfg.Log, instances: map[InstanceID]Instance{}, unlisted: map[InstanceID]unlisted{}, jumped: make(chan struct{}, 1)}
 	d.view.Store(newView(nil, nil))
 	return d
 }
@@ -201,10 +221,14 @@
 	if _, already := d.unlisted[id]; already {
 		return
 	}
-	until := time.Now().Add(askGrace)
+	until := time.Now().Add(d.cfg.AskGrace)
 	if d.graceEnds.After(until) {
 		until = d.graceEnds
 	}
+	if !time.Now().Before(until) {
+		d.drop(id, "removed from the list")
+		return
+	}
 	d.unlisted[id] = unlisted{until: until}
 	d.log.WithFields(log.Fields{"instance": id, "revision": at, "kept_until": until}).Info("instance_unlisted")
 }
@@ -254,7 +278,7 @@
 	away := time.Since(d.awaySince)
 	d.awaySince = time.Time{}
 	if away >= outageLapse {
-		d.graceEnds = time.Now().Add(returnGrace)
+		d.graceEnds = time.Now().Add(d.cfg.ReturnGrace)
 	}
 	d.log.WithField("away_ms", away.Milliseconds()).Info("source_regained")
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -76,7 +76,7 @@
 // newer one, from the store or from another node. It must not fall back.
 func TestOlderRoutesNeverReplaceNewerOnes(t *testing.T) {
 	Convey("Routes only move on", t, func() {
-		d := New(quiet)
+		d := New(Usual(quiet))
 		d.Replace(Snapshot{Revision: 9, Routes: routesOf(t, 9)})
 		d.Apply([]Change{{Routes: routesOf(t, 8)}}, 10)
 		So(d.View().Routes.Version, ShouldEqual, 9)
@@ -91,7 +91,7 @@
 // page that was read before; or its removal is told again after its return.
 func TestOlderEntriesNeverReplaceNewerOnes(t *testing.T) {
 	Convey("An entry only moves on", t, func() {
-		d := New(quiet)
+		d := New(Usual(quiet))
 		leaving := instance("a", 5)
 		leaving.Leaving = true
 		d.Replace(Snapshot{Revision: 5, Instances: []Instance{leaving}})
@@ -112,7 +112,7 @@
 // dead instance that changes once more does not bring it back.
 func TestAnAddressIsItsLatestInstances(t *testing.T) {
 	Convey("Only the instance listed last at an address is there", t, func() {
-		d := New(quiet)
+		d := New(Usual(quiet))
 		at := func(id InstanceID, service string, since, rev Revision) Instance {
 			return Instance{ID: id, Service: service, Addr: "10.1.0.8:80", Slots: 4, Since: since, Revision: rev}
 		}
@@ -144,7 +144,7 @@
 // request till then. One that does not come back is gone.
 func TestEntriesMissingAfterAnOutageAreBelievedForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := New(quiet)
+		d := New(Usual(quiet))
 		d.Replace(Snapshot{Revision: 2, Instances: []Instance{instance("a", 1), instance("b", 2)}})
 		d.Away(time.Now(), errors.New("refused"))
 		time.Sleep(6 * time.Second)
@@ -201,7 +201,7 @@
 			ins = append(ins, instance(InstanceID(rune('a'+i)), 1))
 		}
 		src.set(Snapshot{Revision: 1, Routes: routesOf(t, 1), Instances: ins}, nil)
-		d := New(quiet)
+		d := New(Usual(quiet))
 		go d.Follow(ctx, src)
 		time.Sleep(10 * time.Millisecond)
 		src.mu.Lock()
@@ -236,7 +236,7 @@
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
 		}
-		d := New(quiet)
+		d := New(Usual(quiet))
 		go d.Follow(ctx, src)
 		Convey("The hung watch is given up for one from the newer revision", t, func() {
 			So(<-after, ShouldEqual, 1)
@@ -253,7 +253,7 @@
 
 func TestSnapshotsCrossBetweenNodesWhole(t *testing.T) {
 	Convey("What one node encodes another decodes", t, func() {
-		d := New(quiet)
+		d := New(Usual(quiet))
 		d.Replace(Snapshot{Revision: 7, Routes: routesOf(t, 3), Instances: []Instance{instance("a", 4)}})
 		b, err := Encode(d.Snapshot())
 		So(err, ShouldBeNil)
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -139,6 +139,9 @@
 // at twenty nodes and eleven at sixty, and a second change that the source
 // keeps to itself would be seen by nobody.
 func (d *Directory) firstLook() time.Duration {
+	if !d.cfg.Spread {
+		return d.nextLook()
+	}
 	return max(rand.N(d.lookEvery(firstSpacing)), shortWatch)
 }
 
--- a/directory/spread_test.go
+++ b/directory/spread_test.go
@@ -66,7 +66,7 @@
 			}
 			var all []*Directory
 			for range nodes {
-				d := New(quiet)
+				d := New(Usual(quiet))
 				all = append(all, d)
 				go d.Follow(ctx, src)
 			}
--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -13,7 +13,7 @@
 // what was known of an instance that is no more.
 func TestTheLaterStartCounts(t *testing.T) {
 	Convey("Whichever entry was written last", t, func() {
-		d := New(quiet)
+		d := New(Usual(quiet))
 		again := instance("a", 5)
 		again.Started = 2000
 		d.Replace(Snapshot{Revision: 5, Instances: []Instance{again}})
@@ -33,7 +33,7 @@
 // entry that cannot be read must not end the instance known under its id.
 func TestEntriesOfOthersHideNoInstance(t *testing.T) {
 	Convey("The instance stays", t, func() {
-		d := New(quiet)
+		d := New(Usual(quiet))
 		r := routesOf(t, 3)
 		r.Services = []Service{{Name: "archiv", HealthPath: "/health"}}
 		odd := instance("odd", 9)
@@ -61,7 +61,7 @@
 // whether it is listed still.
 func TestTheDirectoryHoldsWhatWasWrittenLast(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := New(quiet)
+		d := New(Usual(quiet))
 		type fact struct {
 			started UnixMilli
 			rev     Revision
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -62,6 +62,23 @@
 	if !f.HasSection(section) {
 		return eris.Wrapf(ErrInvalid, "%s: no [%s] section", path, section)
 	}
+	return read(f, path, section, v)
+}
+
+// LoadOptional is Load for a section that may be missing; v then stays as it
+// is.
+func LoadOptional(path, section string, v any) error {
+	f, err := ini.Load(path)
+	if err != nil {
+		return eris.Wrapf(ErrInvalid, "%s: %v", path, err)
+	}
+	if !f.HasSection(section) {
+		return nil
+	}
+	return read(f, path, section, v)
+}
+
+func read(f *ini.File, path, section string, v any) error {
 	if err := unknownKeys(f.Section(section), v); err != nil {
 		return eris.Wrapf(ErrInvalid, "%s: [%s]: %v", path, section, err)
 	}
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -111,7 +111,7 @@
 	q := &request{route: rt, entered: entered, deadline: entered.Add(left)}
 	q.Request = call.Request{ID: id, Service: rt.Service(n.draw()), Operation: rt.Name, Body: body, HTTP: n.forTarget(r, rt, from)}
 	if !from.begun {
-		q.turnBy = entered.Add(n.times(rt, left).Patience())
+		q.turnBy = entered.Add(n.patience(n.times(rt, left)))
 	}
 	return q, nil
 }
@@ -141,7 +141,7 @@
 		n.board.Called(p.route, rt.Name)
 		return origin{level: p.level, begun: true, repeat: p.repeat}
 	}
-	level := n.costs.Level(rt.Name, rt.Priority, id)
+	level := n.levels.Level(rt.Name, rt.Priority, id)
 	n.board.See(level)
 	return origin{level: level}
 }
@@ -153,8 +153,8 @@
 	if since, ok := n.leavingSince(); ok && since > refuseAfter {
 		return &refusal{code: http.StatusServiceUnavailable, cause: causeLeaving, after: comeBackLeaving, why: "node is leaving"}
 	}
-	if up := n.board.Threshold(rt.Name); level > up {
-		return &refusal{code: http.StatusServiceUnavailable, cause: causeOverload, after: n.times(rt, left).ComeBack(),
+	if up := n.admission.Threshold(rt.Name); level > up {
+		return &refusal{code: http.StatusServiceUnavailable, cause: causeOverload, after: n.comeBack(n.times(rt, left)),
 			why: "overload: level " + strconv.Itoa(int(level)) + " is over " + strconv.Itoa(int(up))}
 	}
 	return nil
--- a/sidecar/fake_test.go
+++ b/sidecar/fake_test.go
@@ -168,10 +168,10 @@
 // run starts a node beside v's target.
 func (m *mesh) run(v *vm) {
 	lg := &log.Logger{Handler: discard.New()}
-	v.dir = directory.New(lg)
+	v.dir = directory.New(directory.Usual(lg))
 	n, err := New(Config{Seeds: m.seeds, Control: freeAddr(m.t, v.ip), Name: "node-" + v.ip, DC: "nord", Service: v.self.Service, Target: v.self.Addr, Callers: freeAddr(m.t, v.ip),
 		Peer: net.JoinHostPort(v.ip, strconv.Itoa(m.port)), Ready: freeAddr(m.t, v.ip), Metrics: freeAddr(m.t, v.ip), Headers: testHeaders,
-		Tuning: Tuning{BodyBytes: 1 << 20, Repeats: budget.WindowConfig{Span: 10 * time.Second, Ratio: 0.1, Slack: 100}}, Grace: 3 * time.Second, Directory: v.dir, Log: lg})
+		Tuning: Tuning{BodyBytes: 1 << 20, Repeats: budget.WindowConfig{Span: 10 * time.Second, Ratio: 0.1, Slack: 100}}, Policies: Usual(), Grace: 3 * time.Second, Directory: v.dir, Log: lg})
 	if err != nil {
 		m.t.Fatal(err)
 	}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -57,6 +57,8 @@
 		Metrics string // host:port for metrics
 		Headers call.Headers
 		Tuning  Tuning
+		// Policies are the decisions that are switched on; Usual for all.
+		Policies Policies
 		// Grace is how long the process may go on after it is told to stop.
 		Grace     time.Duration
 		Directory *directory.Directory
@@ -77,29 +79,33 @@
 
 	// Node is one running node.
 	Node struct {
-		cfg      Config
-		log      log.Interface
-		note     *timeline.Decisions
-		dir      *directory.Directory
-		balancer *balance.Balancer
-		gate     *slots.Gate
-		work     *slots.Work // of the local target, by route
-		usual    *slots.Work // of whole requests that began here, by route
-		meter    *admit.Meter
-		health   balance.Health // of the local target
-		board    *admit.Board
-		costs    *admit.Costs // of whole requests that began here
-		running  *running
-		witness  *vouch.Witness // of the local instance
-		asking   asking         // the nodes of unlisted instances
-		target   *targetconn.Pool
-		peers    *wire.Pool
-		peerPort string
-		stats    *stats
-		wire     wire.Server
-		callers  *http.Server
-		ready    *http.Server
-		metrics  *http.Server
+		cfg       Config
+		log       log.Interface
+		note      *timeline.Decisions
+		dir       *directory.Directory
+		balancer  *balance.Balancer
+		gate      *slots.Gate
+		work      *slots.Work // of the local target, by route
+		usual     *slots.Work // of whole requests that began here, by route
+		meter     *admit.Meter
+		health    balance.Health // of the local target
+		board     *admit.Board
+		costs     *admit.Costs // of whole requests that began here
+		admission admit.Admission
+		levels    admit.Levels
+		patience  admit.Wait // of a new request for its turn
+		comeBack  admit.Wait // of a refused caller
+		running   *running
+		witness   *vouch.Witness // of the local instance
+		asking    asking         // the nodes of unlisted instances
+		target    *targetconn.Pool
+		peers     *wire.Pool
+		peerPort  string
+		stats     *stats
+		wire      wire.Server
+		callers   *http.Server
+		ready     *http.Server
+		metrics   *http.Server
 
 		draws    atomic.Uint64 // numbers the draws of split routes
 		tuning   atomic.Pointer[Tuning]
@@ -126,10 +132,10 @@
 	n := &Node{
 		cfg:      cfg,
 		log:      cfg.Log,
-		note:     timeline.NewDecisions(cfg.Log),
+		note:     timeline.NewDecisions(cfg.Log, cfg.Policies.decisionLines()),
 		dir:      cfg.Directory,
-		balancer: balance.New(cfg.DC),
-		gate:     slots.NewGate(firstSlots),
+		balancer: balance.New(cfg.Policies.balancer(cfg.DC)),
+		gate:     slots.NewGate(firstSlots, cfg.Policies.order()),
 		work:     slots.NewWork(),
 		usual:    slots.NewWork(),
 		meter:    admit.NewMeter(firstSlots),
@@ -144,8 +150,10 @@
 		stop:     make(chan struct{}),
 	}
 	n.witness = vouch.NewWitness(vouch.Config{Listed: n.listed, Probe: n.probe, SourceLost: n.dir.SourceLost})
+	n.admission, n.levels = cfg.Policies.admission(n.board), cfg.Policies.levels(n.costs)
+	n.patience, n.comeBack = cfg.Policies.patience(), cfg.Policies.comeBack()
 	n.tuning.Store(&cfg.Tuning)
-	n.peers = wire.NewPool(wire.PoolConfig{From: cfg.Name, Log: cfg.Log, OnVersion: n.heardRevision})
+	n.peers = wire.NewPool(wire.PoolConfig{From: cfg.Name, Log: cfg.Log, OnVersion: n.heardRevision, Trusting: !cfg.Policies.Suspicion})
 	n.wire = wire.Server{Handler: n.servePeer, Version: n.revision}
 	n.callers = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes}
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerWait}
@@ -253,7 +261,7 @@
 	defer n.mu.Unlock()
 	w := n.windows[service]
 	if w == nil {
-		w = budget.NewWindow(n.tuning.Load().Repeats)
+		w = budget.NewWindow(choose(n.cfg.Policies.Repeats, n.tuning.Load().Repeats, budget.WindowConfig{Span: n.tuning.Load().Repeats.Span}))
 		n.windows[service] = w
 	}
 	return w
--- /dev/null
+++ b/sidecar/policies_test.go
@@ -0,0 +1,45 @@
+package sidecar
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/oatpin/oatpin/admit"
+	"github.com/oatpin/oatpin/slots"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// A policy that is added without its default would be off for everybody, and
+// nothing would fail.
+func TestUsualHasEveryPolicyOn(t *testing.T) {
+	Convey("Each field is on", t, func() {
+		v := reflect.ValueOf(Usual())
+		for i := range v.NumField() {
+			So(v.Type().Field(i).Tag.Get("ini"), ShouldNotBeEmpty)
+			So(v.Field(i).Bool(), ShouldBeTrue)
+		}
+	})
+}
+
+func TestAPolicySwitchedOffIsAnother(t *testing.T) {
+	Convey("Each does without its matter", t, func() {
+		b, c := admit.NewBoard(), admit.NewCosts()
+		b.Told("read", 3)
+		on, off := Usual(), Policies{}
+		So(on.admission(b).Threshold("read"), ShouldEqual, 3)
+		So(off.admission(b).Threshold("read"), ShouldEqual, admit.Top)
+		So(on.levels(c), ShouldEqual, c)
+		So(off.levels(c), ShouldHaveSameTypeAs, admit.Even{})
+		So(on.order(), ShouldResemble, slots.Usual())
+		So(off.order(), ShouldResemble, slots.Order{})
+		t := admit.Times{Left: 4e9, Target: 1e9, Usual: 2e8}
+		So(on.patience()(t), ShouldEqual, t.Patience())
+		So(off.patience()(t), ShouldEqual, t.Left)
+		So(off.comeBack()(t), ShouldEqual, 1e9)
+		So(off.balancer("nord").Weights.Told, ShouldEqual, 0)
+		So(on.balancer("nord").Weights.Told, ShouldEqual, 1)
+		So(off.Directory(log.Log).AskGrace, ShouldEqual, 0)
+		So(on.Directory(log.Log).Spread, ShouldBeTrue)
+	})
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -34,7 +34,7 @@
 	if r.HTTP == nil {
 		return call.Refuse(r, "not a request by route", 0)
 	}
-	if since, leaving := n.leavingSince(); leaving && since > peersAfter {
+	if since, leaving := n.leavingSince(); leaving && since > choose(n.cfg.Policies.ServePeers, peersAfter, 0) {
 		a := call.Refuse(r, "node is leaving", 0)
 		a.Leaving = true
 		return a
--- a/sidecar/vouch.go
+++ b/sidecar/vouch.go
@@ -57,6 +57,9 @@
 // instance that this node has not sent to, or thought of sending to, is of no
 // concern here: with a thousand nodes, only those that use an instance ask.
 func (n *Node) askAfter(v *directory.View) {
+	if !n.cfg.Policies.Vouch {
+		return
+	}
 	for _, in := range v.All() {
 		if in.Unlisted && (in.Addr == n.cfg.Target || n.balancer.Knows(in.Start())) && n.asking.begin(in.Start()) {
 			go n.follow(in)
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/call"
 	"github.com/rotisserie/eris"
 )
@@ -43,6 +42,8 @@
 	// target that is handed more than its slots may never answer what it
 	// cannot queue; what waits here can still be refused as not run.
 	Gate struct {
+		order Order
+
 		mu      sync.Mutex
 		limit   int
 		busy    int
@@ -59,8 +60,8 @@
 )
 
 // NewGate returns a Gate for a target that works on limit requests at once.
-func NewGate(limit int) *Gate {
-	return &Gate{limit: max(limit, 1), mean: firstService}
+func NewGate(limit int, order Order) *Gate {
+	return &Gate{order: order, limit: max(limit, 1), mean: firstService}
 }
 
 // SetLimit changes how many requests may be at the target.
@@ -92,7 +93,7 @@
 		return 0, ErrTooLate
 	}
 	w := &waiter{t: t, since: now, ready: make(chan error, 1)}
-	g.waiting.Push(level(t), w)
+	g.waiting.Push(g.order.place(t), w)
 	g.mu.Unlock()
 	return g.wait(ctx, w)
 }
@@ -130,7 +131,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	found := false
-	g.waiting.Remove(level(w.t), func(o *waiter) bool {
+	g.waiting.Remove(g.order.place(w.t), func(o *waiter) bool {
 		found = found || o == w
 		return o == w
 	})
@@ -200,27 +201,6 @@
 // expectedWait is how long a new request would wait: all that comes before
 // it, served by all slots at the mean service time.
 func (g *Gate) expectedWait(t Ticket) time.Duration {
-	ahead := g.waiting.Ahead(level(t)) + 1
+	ahead := g.waiting.Ahead(g.order.place(t)) + 1
 	return time.Duration(ahead) * g.mean / time.Duration(g.limit)
 }
-
-// level is a ticket's place in the queue: by rank, so that a full target
-// never makes an approval wait for reads; within a rank calls of requests
-// that already run before new ones, since refusing one of them wastes all
-// that ran above it; and within these by the part drawn from the request. A
-// new request that makes no calls is in the place of such a call: with its
-// turn the whole of it is done. Behind all calls it would only ever get what
-// the chains leave, and where these fill the target that is nothing.
-//
-// A request that makes ten calls waits in the queue ten times. In order of
-// arrival all wait the same, and in a surge none gets its last call done in
-// time: the target is busy and nothing is finished. All of a request's calls
-// have the same part at every target, so those of the lowest parts pass
-// everywhere without waiting and are finished, and the others end early.
-func level(t Ticket) int {
-	l := 2 * admit.RankOf(t.Level)
-	if !t.Begun && !t.Last {
-		l++
-	}
-	return l*admit.Parts + admit.PartOf(t.Level)
-}
--- a/slots/gate_test.go
+++ b/slots/gate_test.go
@@ -37,7 +37,7 @@
 func TestRequestsOfAHigherRankDoNotWaitForCallsOfALowerOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("The order is by rank, and begun calls first within each", t, func() {
-			g := NewGate(1)
+			g := NewGate(1, Usual())
 			ctx := context.Background()
 			So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
 			read := enter(ctx, g, ticket(2, false, time.Minute))
@@ -60,7 +60,7 @@
 func TestTheWaitForeseenCountsOnlyWhatGoesBefore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A hundred waiting calls of reads do not refuse it", t, func() {
-			g := NewGate(2)
+			g := NewGate(2, Usual())
 			ctx := context.Background()
 			for range 2 {
 				So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
@@ -84,7 +84,7 @@
 func TestRequestsThatCannotBeDoneInTimeAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("At once when the wait is foreseen, at its deadline otherwise", t, func() {
-			g := NewGate(1)
+			g := NewGate(1, Usual())
 			ctx := context.Background()
 			So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
 			began := time.Now()
@@ -96,7 +96,7 @@
 			So(g.Load().Queued, ShouldEqual, 0)
 		})
 		Convey("A new request is refused when its patience ends, long before its deadline", t, func() {
-			g := NewGate(1)
+			g := NewGate(1, Usual())
 			ctx := context.Background()
 			So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
 			began := time.Now()
@@ -110,7 +110,7 @@
 			So(time.Since(began), ShouldEqual, 2*firstService)
 		})
 		Convey("A caller that leaves gives its place in the queue up", t, func() {
-			g := NewGate(1)
+			g := NewGate(1, Usual())
 			ctx, cancel := context.WithCancel(context.Background())
 			So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
 			gone := enter(ctx, g, ticket(0, false, time.Minute))
@@ -119,7 +119,7 @@
 			So(g.Load().Queued, ShouldEqual, 0)
 		})
 		Convey("A leaving target refuses all that waits at once", t, func() {
-			g := NewGate(1)
+			g := NewGate(1, Usual())
 			ctx := context.Background()
 			So(<-enter(ctx, g, ticket(0, false, time.Minute)), ShouldBeNil)
 			waiting := enter(ctx, g, ticket(0, true, time.Minute))
@@ -139,7 +139,7 @@
 func TestGateKeepsItsLimit(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		synctest.Test(t, func(*testing.T) {
-			g := NewGate(3)
+			g := NewGate(3, Usual())
 			limit, over := 3, 0 // over: still in from before the limit was lowered
 			var waiting []<-chan error
 			var cancels []context.CancelFunc
@@ -214,7 +214,7 @@
 
 // BenchmarkGate measures a request through a gate with room.
 func BenchmarkGate(b *testing.B) {
-	g := NewGate(100)
+	g := NewGate(100, Usual())
 	t := Ticket{Level: call.Level(3), Deadline: time.Now().Add(time.Hour)}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -228,7 +228,7 @@
 // BenchmarkEnterWaiting measures a request's way through a full gate in which
 // a hundred others wait.
 func BenchmarkEnterWaiting(b *testing.B) {
-	g := NewGate(1)
+	g := NewGate(1, Usual())
 	ctx := context.Background()
 	far := time.Now().Add(time.Hour)
 	if _, err := g.Enter(ctx, Ticket{Deadline: far}); err != nil {
--- a/slots/single_test.go
+++ b/slots/single_test.go
@@ -24,7 +24,7 @@
 		// 15 slots; a read takes 8 x 30 ms of them, a release 90 ms: 24 slots
 		// of reads and 1.8 of releases are asked for.
 		const reads, releases, seconds = 100, 20, 10
-		g := NewGate(15)
+		g := NewGate(15, Usual())
 		var read, released atomic.Int64
 		offer := func(perSecond int, one func(id call.RequestID)) {
 			for i := range perSecond * seconds {
--- a/slots/surge_test.go
+++ b/slots/surge_test.go
@@ -68,11 +68,11 @@
 		Convey("At twice the load, nine tenths of what the target can do is finished", t, func() {
 			// 10 slots and 20 ms a call are 500 calls, so 100 requests, a second.
 			c := chain{perSecond: 200, calls: 5, work: 20 * time.Millisecond, callTime: 300 * time.Millisecond, time: time.Second}
-			So(c.run(NewGate(10), 10*time.Second), ShouldBeGreaterThan, 900)
+			So(c.run(NewGate(10, Usual()), 10*time.Second), ShouldBeGreaterThan, 900)
 		})
 		Convey("Within what it can do, everything is", t, func() {
 			c := chain{perSecond: 80, calls: 5, work: 20 * time.Millisecond, callTime: 300 * time.Millisecond, time: time.Second}
-			So(c.run(NewGate(10), 10*time.Second), ShouldEqual, 800)
+			So(c.run(NewGate(10, Usual()), 10*time.Second), ShouldEqual, 800)
 		})
 	})
 }
--- a/timeline/decisions.go
+++ b/timeline/decisions.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// linesPerSecond bounds the lines of one kind: under overload every
-	// request is a decision, and a hundred lines a second of each kind show
-	// the pattern at a few percent of a small VM's processor.
-	linesPerSecond = 40
+	// LinesPerSecond is the usual bound on the lines of one kind: under
+	// overload every request is a decision, and forty lines a second of each
+	// kind show the pattern at a few percent of a small VM's processor.
+	LinesPerSecond = 40
 	// queueLines is how many lines may wait for a slow reader: some seconds
 	// of a busy node, under half a megabyte.
 	queueLines = 1024
@@ -39,6 +39,7 @@
 	// belief, at most so many of a kind in a second.
 	Decisions struct {
 		log   log.Interface
+		most  int // lines of a kind in a second
 		mu    sync.Mutex
 		kinds map[string]*kind
 	}
@@ -102,9 +103,10 @@
 	}
 }
 
-// NewDecisions returns a Decisions that writes to l.
-func NewDecisions(l log.Interface) *Decisions {
-	return &Decisions{log: l, kinds: map[string]*kind{}}
+// NewDecisions returns a Decisions that writes to l, at most so many lines of
+// a kind in a second.
+func NewDecisions(l log.Interface, most int) *Decisions {
+	return &Decisions{log: l, most: most, kinds: map[string]*kind{}}
 }
 
 // Note writes a line of a kind unless its bound for this second is reached;
@@ -134,7 +136,7 @@
 		left = k.left
 		*k = kind{second: second}
 	}
-	if k.written >= linesPerSecond {
+	if k.written >= d.most {
 		k.left++
 		return 0, false
 	}
--- a/timeline/decisions_test.go
+++ b/timeline/decisions_test.go
@@ -69,7 +69,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("So many a second of each kind, the rest is counted", t, func() {
 			lines := memory.New()
-			d := NewDecisions(&log.Logger{Handler: lines, Level: log.InfoLevel})
+			d := NewDecisions(&log.Logger{Handler: lines, Level: log.InfoLevel}, LinesPerSecond)
 			built := 0
 			note := func(kind string) {
 				d.Note(kind, func() log.Fields { built++; return log.Fields{"id": "x"} })
@@ -78,13 +78,13 @@
 				note("refused")
 			}
 			note("ended")
-			So(len(lines.Entries), ShouldEqual, linesPerSecond+1)
-			So(built, ShouldEqual, linesPerSecond+1)
+			So(len(lines.Entries), ShouldEqual, LinesPerSecond+1)
+			So(built, ShouldEqual, LinesPerSecond+1)
 			time.Sleep(time.Second)
 			note("refused")
 			last := lines.Entries[len(lines.Entries)-1]
 			So(last.Message, ShouldEqual, "refused")
-			So(last.Fields["left_out"], ShouldEqual, 1000-linesPerSecond)
+			So(last.Fields["left_out"], ShouldEqual, 1000-LinesPerSecond)
 		})
 	})
 }
@@ -93,7 +93,7 @@
 // bound.
 func BenchmarkNote(b *testing.B) {
 	a := NewAsync(io.Discard)
-	d := NewDecisions(&log.Logger{Handler: a, Level: log.InfoLevel})
+	d := NewDecisions(&log.Logger{Handler: a, Level: log.InfoLevel}, LinesPerSecond)
 	b.ReportAllocs()
 	for b.Loop() {
 		d.Note("kind", func() log.Fields { return log.Fields{"id": "x", "why": "y"} })
--- a/vouch/model_test.go
+++ b/vouch/model_test.go
@@ -52,7 +52,7 @@
 }
 
 func newModel(t *rapid.T) *model {
-	m := &model{t: t, ended: map[directory.InstanceID]time.Time{}, other: directory.New(&log.Logger{Handler: discard.New()})}
+	m := &model{t: t, ended: map[directory.InstanceID]time.Time{}, other: directory.New(directory.Usual(&log.Logger{Handler: discard.New()}))}
 	m.inst = directory.Instance{ID: "i", Started: 1, Service: "s", Addr: "a:1", Slots: 4}
 	m.witness = NewWitness(Config{Listed: m.listed, Probe: m.probe, SourceLost: func() time.Time { return time.Time{} }})
 	m.up, m.upSince, m.changed = true, time.Now(), time.Now()
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -17,6 +17,9 @@
 type DialConfig struct {
 	From      string         // this node's instance name, sent with each request
 	OnVersion func(v uint64) // told the text version each answer carries; may be nil
+	// Trusting leaves a peer that answers no ping unsuspected until its
+	// connection is closed for silence.
+	Trusting bool
 	// Dial opens the network connection; nil for TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -32,6 +32,7 @@
 		// OnVersion is told the version that each answer of a peer carries;
 		// may be nil.
 		OnVersion func(p Peer, version uint64)
+		Trusting  bool // as in DialConfig
 		// Dial opens the network connection; nil for TCP.
 		Dial func(ctx context.Context, addr string) (net.Conn, error)
 	}
@@ -101,7 +102,7 @@
 func (p *Pool) connect(peer Peer, d *dial) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	cfg := DialConfig{From: p.cfg.From, Dial: p.cfg.Dial}
+	cfg := DialConfig{From: p.cfg.From, Trusting: p.cfg.Trusting, Dial: p.cfg.Dial}
 	if p.cfg.OnVersion != nil {
 		cfg.OnVersion = func(v uint64) { p.cfg.OnVersion(peer, v) }
 	}
--- a/wire/silence.go
+++ b/wire/silence.go
@@ -45,7 +45,7 @@
 	heard := c.heard.Swap(false)
 	c.mu.Lock()
 	ping, silent := c.silence.next(heard, len(c.pending) > 0)
-	c.suspect(c.silence.pinged > suspectChecks)
+	c.suspect(!c.cfg.Trusting && c.silence.pinged > suspectChecks)
 	if ping {
 		c.next++
 	}
