--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -73,6 +73,7 @@
 // start runs six nodes of two services in two data centres.
 func start(t *testing.T, bin string, seed uint64) *deployment {
 	d := &deployment{t: t, bin: bin, dir: t.TempDir(), store: platform.NewStandIn()}
+	d.store.Services = []directory.Service{{Name: "archiv", HealthPath: healthPath}, {Name: "versand", HealthPath: healthPath}}
 	for _, p := range []*int{&d.ports.peer, &d.ports.target, &d.ports.callers, &d.ports.ready, &d.ports.metrics, &d.ports.store} {
 		*p = freePort(t)
 	}
@@ -145,14 +146,22 @@
 func (d *deployment) replaceTarget(v *vm) {
 	if v.target != nil {
 		d.store.RemoveInstance(v.instance.ID)
-		v.target.Close()
-		v.former = append(v.former, v.target)
 	}
 	d.mu.Lock()
 	d.ids++
 	id := fmt.Sprintf("i-%d", d.ids)
 	d.mu.Unlock()
-	v.instance = directory.Instance{ID: directory.InstanceID(id), Service: v.service, DC: v.dc, Addr: addr(1, v.n, d.ports.target), Slots: slots}
+	d.startTarget(v, id)
+}
+
+// startTarget ends the target beside a node, if there is one, and starts the
+// next at its address, under its own id or another.
+func (d *deployment) startTarget(v *vm, id string) {
+	if v.target != nil {
+		v.target.Close()
+		v.former = append(v.former, v.target)
+	}
+	v.instance = directory.Instance{ID: directory.InstanceID(id), Service: v.service, DC: v.dc, Addr: addr(1, v.n, d.ports.target), Slots: slots, Started: directory.UnixMilli(time.Now().UnixMilli())}
 	var err error
 	v.target, err = NewTarget(id, v.instance.Addr, platform.Headers)
 	d.must(err)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/oatpin/oatpin/directory"
 )
 
 // fault is one kind of trouble; it lasts until the function returns.
@@ -12,7 +15,8 @@
 
 // faults are drawn with equal chance.
 var faults = []fault{stopAndStart, killAndStart, pause, hangUp, newTarget, drain,
-	cutPeers, cutPeers, cutStore, resetLinks, forget, changeRoutes}
+	cutPeers, cutPeers, cutStore, resetLinks, forget, changeRoutes,
+	lapse, lapse, leaveSilently, startAgain, writeForeign}
 
 // inject draws faults for a time, on any node and several at once, and waits
 // until the last one is over.
@@ -88,6 +92,46 @@
 	d.must(d.store.PutInstance(v.instance))
 }
 
+// lapse cuts a VM off from the store until the entry of its instance, which
+// lives, is taken off the list, and back.
+func lapse(d *deployment, v *vm, r *rand.Rand) {
+	v.fault.Lock()
+	defer v.fault.Unlock()
+	v.toStore.Set(Unplug)
+	time.Sleep(between(r, 0, 300))
+	d.store.RemoveInstance(v.instance.ID)
+	time.Sleep(between(r, 300, 2500))
+	v.toStore.Set(Pass)
+	time.Sleep(between(r, 0, 1500))
+	d.must(d.store.PutInstance(v.instance))
+}
+
+// leaveSilently takes an instance's entry off without a word before; it
+// serves for as long as it owes and ends.
+func leaveSilently(d *deployment, v *vm, r *rand.Rand) {
+	v.fault.Lock()
+	defer v.fault.Unlock()
+	v.target.Leave()
+	d.store.RemoveInstance(v.instance.ID)
+	time.Sleep(between(r, 2000, 2600))
+	d.replaceTarget(v)
+}
+
+// startAgain ends an instance and starts it under the id that it had.
+func startAgain(d *deployment, v *vm, _ *rand.Rand) {
+	v.fault.Lock()
+	defer v.fault.Unlock()
+	d.startTarget(v, string(v.instance.ID))
+}
+
+// writeForeign puts entries of another program beside the instances'.
+func writeForeign(d *deployment, v *vm, r *rand.Rand) {
+	for i, text := range []string{"\xff", `{"Address":"` + v.instance.Addr + `"}`, `{"Address":"` + v.instance.Addr +
+		`","Info":{"Service":"nobody","Version":"v1","Zone":"nord","Slots":1},"Status":{"State":"ready","Seq":1,"ColdLeft":"0ms"}}`} {
+		d.store.PutForeign(directory.InstanceID(fmt.Sprintf("foreign-%d-%d", r.IntN(5), i)), text)
+	}
+}
+
 func cutPeers(_ *deployment, v *vm, r *rand.Rand) { cut(v.peers, r) }
 func cutStore(_ *deployment, v *vm, r *rand.Rand) { cut(v.toStore, r) }
 
--- a/soak/target.go
+++ b/soak/target.go
@@ -20,26 +20,51 @@
 type Target struct {
 	id      string
 	headers call.Headers
+	l       net.Listener
 	srv     *http.Server
 
-	mu  sync.Mutex
-	ran map[string]int // by request id
+	mu      sync.Mutex
+	ran     map[string]int // by request id
+	leaving bool
 }
 
+// healthPath is where a Target says whether it is well.
+const healthPath = "/health"
+
 // NewTarget serves at addr as the instance with an id.
 func NewTarget(id, addr string, h call.Headers) (*Target, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "target at %s", addr)
 	}
-	t := &Target{id: id, headers: h, ran: map[string]int{}}
+	t := &Target{id: id, headers: h, l: l, ran: map[string]int{}}
 	t.srv = &http.Server{Handler: t}
 	go t.srv.Serve(l)
 	return t, nil
 }
 
-// Close ends the target.
-func (t *Target) Close() { t.srv.Close() }
+// Leave lets the target's health check fail; it serves on.
+func (t *Target) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = true
+}
+
+func (t *Target) serveHealth(w http.ResponseWriter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w.Header().Set(t.headers.Instance, t.id)
+	if t.leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Close ends the target. The server knows its listener only once it runs, and
+// the next target is to listen at the same address.
+func (t *Target) Close() {
+	t.l.Close()
+	t.srv.Close()
+}
 
 // Runs returns how often the target has run a request.
 func (t *Target) Runs(id string) int {
@@ -50,6 +75,10 @@
 
 // ServeHTTP runs one request.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == healthPath {
+		t.serveHealth(w)
+		return
+	}
 	id := r.Header.Get(t.headers.RequestID)
 	w.Header().Set(t.headers.RequestID, id)
 	if r.Header.Get(t.headers.ExpectedInstance) != t.id {
