--- a/call/call.go
+++ b/call/call.go
@@ -35,7 +35,11 @@
 )
 
 // Request is one call as it crosses a hop, caller to node or node to node.
+// Between nodes its fields go by their place, without their names, which saves
+// 84 of 238 bytes that a call adds to its body, and 37 of 121 that an answer
+// adds (BenchmarkFrameSize); new fields come last.
 type Request struct {
+	_msgpack  struct{}      `msgpack:",as_array"`
 	ID        RequestID     `msgpack:"id"`
 	Service   string        `msgpack:"service"`
 	Operation string        `msgpack:"operation"`
@@ -54,8 +58,9 @@
 	Yields bool `msgpack:"-"`
 }
 
-// Answer is what comes back for a Request.
+// Answer is what comes back for a Request; its fields go by their place too.
 type Answer struct {
+	_msgpack    struct{}      `msgpack:",as_array"`
 	ID          RequestID     `msgpack:"id"`
 	Status      Status        `msgpack:"status"`
 	Reason      string        `msgpack:"reason,omitempty"`
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -156,7 +156,7 @@
 	n.levels = cfg.Policies.levels(n.costs)
 	n.patience, n.comeBack = cfg.Policies.patience(), cfg.Policies.comeBack()
 	n.tuning.Store(&cfg.Tuning)
-	n.peers = wire.NewPool(wire.PoolConfig{From: cfg.Name, Log: cfg.Log, OnVersion: n.heardRevision, Trusting: !cfg.Policies.Suspicion})
+	n.peers = wire.NewPool(wire.PoolConfig{Log: cfg.Log, OnVersion: n.heardRevision, Trusting: !cfg.Policies.Suspicion})
 	n.wire = wire.Server{Handler: n.servePeer, Version: n.revision}
 	n.callers = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes}
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerWait}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -12,14 +12,16 @@
 	Stream uint64
 
 	// Frame is the one message type on a node-to-node connection, encoded as
-	// msgpack with snake_case field names.
+	// msgpack with its fields in this order; new ones come last. Frames with
+	// named fields, as nodes sent them before, are read too.
 	Frame struct {
-		Kind    Kind          `msgpack:"kind"`
-		Stream  Stream        `msgpack:"stream"`
-		Request *call.Request `msgpack:"request,omitempty"`
-		Answer  *call.Answer  `msgpack:"answer,omitempty"`
-		Config  uint64        `msgpack:"config"`         // version of the text in force at the sender
-		From    string        `msgpack:"from,omitempty"` // instance name of the sender of a request
+		_msgpack struct{}      `msgpack:",as_array"`
+		Kind     Kind          `msgpack:"kind"`
+		Stream   Stream        `msgpack:"stream"`
+		Request  *call.Request `msgpack:"request,omitempty"`
+		Answer   *call.Answer  `msgpack:"answer,omitempty"`
+		Config   uint64        `msgpack:"config"`         // version of the text in force at the sender
+		From     string        `msgpack:"from,omitempty"` // instance name of the sender of a request
 	}
 )
 
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -27,7 +27,7 @@
 
 	// PoolConfig is what a Pool is built from.
 	PoolConfig struct {
-		From string // this node's instance name, sent with each request
+		From string // this node's instance name, sent with each request; empty where servers do not ask for it
 		Log  log.Interface
 		// OnVersion is told the version that each answer of a peer carries;
 		// may be nil.
