--- a/admit/meter.go
+++ b/admit/meter.go
@@ -23,10 +23,6 @@
 	queueAllowed = 30 * time.Millisecond
 	// drainTime is within which a queue beyond that is to be worked off.
 	drainTime = time.Second
-	// hiddenCalls is how many further calls of its request a refused call
-	// stands for. Chains make four to eight calls to the scarcest service one
-	// after the other, and a refused one is in the middle on average.
-	hiddenCalls = 3
 	// maxRaise is the most parts by which a threshold rises in a window;
 	// from one part the step doubles, so that a whole rank is back within
 	// five calm windows.
@@ -73,17 +69,6 @@
 	m.queued = queued
 }
 
-// Refuse notes that a call of a running request, of about so much work, was
-// not served in time. Its request ends with it, so the calls that would have
-// followed never show as demand: without them the threshold settles where the
-// slots are full and half of the chains die at their last calls.
-func (m *Meter) Refuse(l call.Level, work time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.roll(time.Now())
-	m.now[min(l, Top)] += hiddenCalls * work.Seconds()
-}
-
 // Threshold returns the last level that is admitted.
 func (m *Meter) Threshold() call.Level {
 	m.mu.Lock()
