--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -25,9 +25,10 @@
 
 const (
 	// usableSlots is the part of a target's slots that are used: some
-	// targets slow down by a third above 19 of 20 slots, and a probe or a
-	// new connection takes one now and then.
-	usableSlots = 0.94
+	// targets slow down by a third above 19 of 20 slots. Small targets are
+	// the scarce ones, and of 37 slots one less is three in a hundred of all
+	// that can be served.
+	usableSlots = 0.95
 	// firstSlots is taken for a target that is not listed yet.
 	firstSlots = 16
 	// headerWait bounds how long a caller may take for its header.
