Drop the place of calls before new requests at the gate; the part decides

Ruled out: keeping the place of single requests alone; it has no meaning then. TestRequestsWithoutCallsAreServedBesideChains is as it was.

--- a/admit/board.go
+++ b/admit/board.go
@@ -131,23 +131,6 @@
 	return lowest
 }
 
-// Calls reports whether requests on a route were seen to make calls lately.
-func (b *Board) Calls(route string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.routes[route]
-	if e == nil {
-		return false
-	}
-	now := time.Now()
-	for _, at := range e.calls {
-		if now.Sub(at) <= callsKept {
-			return true
-		}
-	}
-	return false
-}
-
 func (b *Board) entry(route string) *entry {
 	e := b.routes[route]
 	if e == nil {
--- a/sidecar/policies.go
+++ b/sidecar/policies.go
@@ -17,8 +17,6 @@
 	Thresholds  bool `ini:"thresholds"`   // new requests are refused at the entry by what targets told
 	Prospects   bool `ini:"prospects"`    // and those of routes whose requests nearly all fail
 	Costs       bool `ini:"costs"`        // kinds of request are admitted by their cost
-	CallsFirst  bool `ini:"calls_first"`  // calls wait before new requests
-	Singles     bool `ini:"singles"`      // new requests without calls wait as calls do
 	Parts       bool `ini:"parts"`        // what waits goes by part, not by arrival
 	Patience    bool `ini:"patience"`     // new requests wait only while their answer can be on time
 	ComeBack    bool `ini:"come_back"`    // refused callers are told a time that suits theirs
@@ -37,7 +35,7 @@
 
 // Usual has every policy on.
 func Usual() Policies {
-	return Policies{Thresholds: true, Prospects: true, Costs: true, CallsFirst: true, Singles: true, Parts: true, Patience: true, ComeBack: true,
+	return Policies{Thresholds: true, Prospects: true, Costs: true, Parts: true, Patience: true, ComeBack: true,
 		Repeats: true, Told: true, Speed: true, Tight: true, Explore: true, Vouch: true, Doubt: true, Suspicion: true,
 		Spread: true, ServePeers: true, DecisionLog: true}
 }
@@ -69,7 +67,7 @@
 }
 
 func (p Policies) order() slots.Order {
-	return slots.Order{CallsFirst: p.CallsFirst, Singles: p.Singles, Parts: p.Parts}
+	return slots.Order{Parts: p.Parts}
 }
 
 func (p Policies) admission(b *admit.Board) admit.Admission {
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -61,7 +61,7 @@
 	deadline, _ := ctx.Deadline()
 	n.board.See(r.HTTP.Level)
 	n.meter.Arrive(r.HTTP.Level, n.work.Mean(r.Operation, firstWork), n.gate.Waiting())
-	waited, err := n.gate.Enter(ctx, slots.Ticket{Level: r.HTTP.Level, Begun: r.HTTP.Begun, Last: !n.board.Calls(r.Operation), Deadline: deadline, Patience: r.HTTP.Patience})
+	waited, err := n.gate.Enter(ctx, slots.Ticket{Level: r.HTTP.Level, Deadline: deadline, Patience: r.HTTP.Patience})
 	n.stats.waited(r.HTTP.Begun, err == nil, waited)
 	if err != nil {
 		a := call.Refuse(r, "target: "+err.Error()+" after "+waited.String(), 0)
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -31,8 +31,6 @@
 	// Ticket is what decides a request's place.
 	Ticket struct {
 		Level    call.Level
-		Begun    bool // a call of a request that already runs
-		Last     bool // a request that makes no calls: once let in, it is done
 		Deadline time.Time
 		// Patience is how long it may wait at most; 0 for its deadline.
 		Patience time.Duration
