--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -24,11 +24,6 @@
 )
 
 const (
-	// usableSlots is the part of a target's slots that are used: some
-	// targets slow down by a third above 19 of 20 slots. Small targets are
-	// the scarce ones, and of 37 slots one less is three in a hundred of all
-	// that can be served.
-	usableSlots = 0.95
 	// firstSlots is taken for a target that is not listed yet.
 	firstSlots = 16
 	// headerWait bounds how long a caller may take for its header.
@@ -204,38 +199,6 @@
 	}
 }
 
-// learn takes over what changed about the local target.
-func (n *Node) learn(v *directory.View) {
-	n.balancer.Keep(v)
-	n.askAfter(v)
-	in, ok := v.At(n.cfg.Target)
-	if !ok {
-		n.self.Store(nil)
-		return
-	}
-	if !in.Unlisted {
-		n.witness.See(in)
-	}
-	old := n.self.Swap(&in)
-	if old != nil && old.Start() != in.Start() {
-		// What failed, and what the open connections lead to, ended with
-		// the start before.
-		n.health.Reset()
-		n.target.Close()
-	}
-	if old == nil || old.Slots != in.Slots {
-		usable := int(float64(in.Slots) * usableSlots)
-		n.gate.SetLimit(usable)
-		n.meter.SetSlots(usable)
-	}
-	if in.Leaving {
-		// What waits here has not run: other instances can have it now.
-		n.gate.Close()
-	} else {
-		n.gate.Open()
-	}
-}
-
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if n.dir.View().Routes == nil || !n.dir.Listed() || n.leaving.Load() != 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -251,26 +214,6 @@
 	return 0
 }
 
-// Tune puts a new tuning in force; the bounds on repeats begin anew.
-func (n *Node) Tune(t Tuning) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.tuning.Store(&t)
-	n.windows = map[string]*budget.Window{}
-}
-
-// window returns the bound on repeats to a service.
-func (n *Node) window(service string) *budget.Window {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	w := n.windows[service]
-	if w == nil {
-		w = budget.NewWindow(choose(n.cfg.Policies.Repeats, n.tuning.Load().Repeats, budget.WindowConfig{Span: n.tuning.Load().Repeats.Span}))
-		n.windows[service] = w
-	}
-	return w
-}
-
 // Shutdown stops the node gracefully, within its grace. It tells callers and
 // peers at once that it is leaving, goes on serving what still comes, and
 // ends when nothing is left to answer.
--- a/sidecar/policies.go
+++ b/sidecar/policies.go
@@ -4,6 +4,7 @@
 	"github.com/apex/log"
 	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/balance"
+	"github.com/oatpin/oatpin/budget"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/directory"
 	"github.com/oatpin/oatpin/slots"
@@ -86,4 +87,8 @@
 	return choose(p.ComeBack, admit.Times.ComeBack, admit.InASecond)
 }
 
+func (p Policies) repeats(w budget.WindowConfig) budget.WindowConfig {
+	return choose(p.Repeats, w, budget.WindowConfig{Span: w.Span})
+}
+
 func (p Policies) decisionLines() int { return choose(p.DecisionLog, timeline.LinesPerSecond, 0) }
