--- a/directory/spread_test.go
+++ b/directory/spread_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-func (s *withholding) Listed(context.Context, InstanceID) (bool, error) { return true, nil }
+func (*withholding) Listed(context.Context, InstanceID) (bool, error) { return true, nil }
 
 // The operator submits two versions shortly after each other. The store tells
 // every node of the first and, just as its history is cut, nobody of the
@@ -102,9 +102,9 @@
 	changed chan struct{}
 }
 
-func (s *stormy) Load(context.Context) (Snapshot, error) { return Snapshot{}, nil }
+func (*stormy) Load(context.Context) (Snapshot, error) { return Snapshot{}, nil }
 
-func (s *stormy) Listed(context.Context, InstanceID) (bool, error) { return true, nil }
+func (*stormy) Listed(context.Context, InstanceID) (bool, error) { return true, nil }
 
 func (s *stormy) Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error) {
 	s.mu.Lock()
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -43,7 +43,7 @@
 var (
 	// ErrNotSent means that no byte of the request was written.
 	ErrNotSent = eris.New("target could not be reached")
-	// ErrNobody, beside ErrNotSent, means that nothing listens at the target's
+	// ErrNobody means, beside ErrNotSent, that nothing listens at the target's
 	// address.
 	ErrNobody = eris.New("nothing listens at the target's address")
 	// ErrNoAnswer means that the request was written, in part or whole, and
