Tell nodes' questions from requests by a route of the same name

Cause: a peer's request was taken for a question by its operation's name alone; for requests by route that is the route's name, which operators choose.

--- /dev/null
+++ b/sidecar/operation_test.go
@@ -0,0 +1,28 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/oatpin/oatpin/call"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// An operator calls a route by the name of a question that nodes ask each
+// other. Its callers would get a node's snapshot, or a refusal, instead of
+// their answer.
+func TestARouteMayHaveTheNameOfANodesQuestion(t *testing.T) {
+	m := newMesh(t, "archiv")
+	Convey("Its requests go to the target all the same", t, func() {
+		v := m.vms[0]
+		for _, name := range []string{snapshotOperation, vouchOperation} {
+			r := call.Request{ID: rid("named-" + name), Operation: name, To: string(v.self.ID), Remaining: time.Second,
+				HTTP: &call.HTTPRequest{Method: http.MethodGet, Host: "h", URI: "/read/x", Idempotent: true}}
+			a := v.node.servePeer(context.Background(), r)
+			So(a.Status, ShouldEqual, call.OK)
+			So(v.target.runs("named-"+name), ShouldEqual, 1)
+		}
+	})
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -25,14 +25,8 @@
 
 // servePeer serves a request that came from another node.
 func (n *Node) servePeer(ctx context.Context, r call.Request) call.Answer {
-	switch r.Operation {
-	case snapshotOperation:
-		return n.serveSnapshot(r)
-	case vouchOperation:
-		return n.serveVouch(ctx, r)
-	}
 	if r.HTTP == nil {
-		return call.Refuse(r, "not a request by route", 0)
+		return n.serveNode(ctx, r)
 	}
 	if since, leaving := n.leavingSince(); leaving && since > choose(n.cfg.Policies.ServePeers, peersAfter, 0) {
 		a := call.Refuse(r, "node is leaving", 0)
@@ -42,6 +36,18 @@
 	return n.serveLocal(ctx, r)
 }
 
+// serveNode answers another node's own question. Requests by route never come
+// here, whatever their route is called.
+func (n *Node) serveNode(ctx context.Context, r call.Request) call.Answer {
+	switch r.Operation {
+	case snapshotOperation:
+		return n.serveSnapshot(r)
+	case vouchOperation:
+		return n.serveVouch(ctx, r)
+	}
+	return call.Refuse(r, "not a request by route", 0)
+}
+
 // serveLocal serves a request by the local target within the time it has.
 // ctx ends when the caller has left.
 func (n *Node) serveLocal(ctx context.Context, r call.Request) call.Answer {
