--- a/sidecar/operation_test.go
+++ b/sidecar/operation_test.go
@@ -19,7 +19,8 @@
 		v := m.vms[0]
 		for _, name := range []string{snapshotOperation, vouchOperation} {
 			r := call.Request{ID: rid("named-" + name), Operation: name, To: string(v.self.ID), Remaining: time.Second,
-				HTTP: &call.HTTPRequest{Method: http.MethodGet, Host: "h", URI: "/read/x", Idempotent: true}}
+				HTTP: &call.HTTPRequest{Method: http.MethodGet, Host: "h", URI: "/read/x", Idempotent: true,
+					Header: []call.Field{{Name: testHeaders.RequestID, Value: "named-" + name}}}}
 			a := v.node.servePeer(context.Background(), r)
 			So(a.Status, ShouldEqual, call.OK)
 			So(v.target.runs("named-"+name), ShouldEqual, 1)
