Read the change again: one place for levels, one test for old prospects, one policy built once

Found on reading: the drawing of a level stood apart from the other functions of levels, with rankOf beside RankOf, two names that differ in one letter's case for two meanings; Prospects asked twice, in two ways, whether what it knows is old; the admission by load was built twice at the start; and the account of a request asked three times whether it was a call. Ruled out: one type for admit.Costs and slots.Work; both keep means by route, but slots imports admit, and their smoothing differs with its grounds. Behaviour is unchanged, no test was touched; admit, sidecar and slots pass.

--- a/admit/cost.go
+++ b/admit/cost.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/oatpin/oatpin/call"
 )
 
@@ -64,7 +63,7 @@
 		k = &cost{taken: d}
 		c.routes[route] = k
 	}
-	k.rank = rankOf(priority)
+	k.rank = rank(priority)
 	k.taken += time.Duration(float64(d-k.taken) * costSmoothing)
 }
 
@@ -82,7 +81,7 @@
 // a request that one target would refuse is refused as a whole and not after
 // half its calls.
 func (c *Costs) Level(route string, priority int, id call.RequestID) call.Level {
-	return levelOf(priority, id, c.weight(route, rankOf(priority)))
+	return levelOf(priority, id, c.weight(route, rank(priority)))
 }
 
 // weight is the part of the parts that a route's requests are drawn from:
@@ -105,13 +104,3 @@
 	}
 	return max(float64(k.taken)/float64(dearest), leastWeight)
 }
-
-// levelOf draws a level within a rank from an id, from the lowest parts up to
-// a weight of them.
-func levelOf(priority int, id call.RequestID, weight float64) call.Level {
-	const draws = 1 << 53 // as many as a float64 tells apart
-	u := float64(xxhash.Sum64String(string(id))>>11) / draws
-	return call.Level(rankOf(priority)*Parts) + call.Level(u*weight*Parts)
-}
-
-func rankOf(priority int) int { return max(0, min(priority, maxRank)) }
--- a/admit/level.go
+++ b/admit/level.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"github.com/cespare/xxhash/v2"
 	"github.com/oatpin/oatpin/call"
 )
 
@@ -22,6 +23,17 @@
 // the same part.
 func LevelOf(priority int, id call.RequestID) call.Level { return levelOf(priority, id, 1) }
 
+// levelOf draws a level within a rank from an id, from the lowest parts up to
+// a weight of them.
+func levelOf(priority int, id call.RequestID, weight float64) call.Level {
+	const draws = 1 << 53 // as many as a float64 tells apart
+	u := float64(xxhash.Sum64String(string(id))>>11) / draws
+	return call.Level(rank(priority)*Parts) + call.Level(u*weight*Parts)
+}
+
+// rank returns the rank of a priority, 0 to be served first.
+func rank(priority int) int { return max(0, min(priority, maxRank)) }
+
 // RankOf returns the rank of a level, 0 to be served first.
 func RankOf(l call.Level) int { return int(min(l, Top)) / Parts }
 
--- a/admit/prospect.go
+++ b/admit/prospect.go
@@ -42,6 +42,9 @@
 	at   time.Time
 }
 
+// old reports whether nothing is known any more; nothing was of the zero value.
+func (r prospect) old(now time.Time) bool { return now.Sub(r.at) > prospectKept }
+
 // NewProspects returns a Prospects that knows no route, in front of next.
 func NewProspects(next Admission) *Prospects {
 	return &Prospects{next: next, routes: map[string]prospect{}}
@@ -52,8 +55,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	r, known := p.routes[route]
-	if !known || now.Sub(r.at) > prospectKept {
+	r := p.routes[route]
+	if r.old(now) {
 		r.part = 1
 	}
 	part := 0.0
@@ -61,7 +64,7 @@
 		part = 1
 	}
 	r.part += (part - r.part) * prospectSmoothing
-	r.rank, r.at = rankOf(priority), now
+	r.rank, r.at = rank(priority), now
 	p.routes[route] = r
 }
 
@@ -70,9 +73,9 @@
 func (p *Prospects) Threshold(route string) call.Level {
 	up := p.next.Threshold(route)
 	p.mu.Lock()
-	r, known := p.routes[route]
+	r := p.routes[route]
 	p.mu.Unlock()
-	if !known || r.part >= hopeless || time.Since(r.at) > prospectKept {
+	if r.old(time.Now()) || r.part >= hopeless {
 		return up
 	}
 	return min(up, call.Level(r.rank*Parts+probeParts-1))
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -66,17 +66,18 @@
 	if a.Load != nil {
 		scarce = a.Load.Scarce
 	}
-	if q.HTTP.Begun {
-		n.running.called(q.ID, a.Status != call.OK, scarce)
-	}
-	if !q.HTTP.Begun && a.Status != call.NotRun && !left {
-		n.prospects.Ended(q.route.Name, q.route.Priority, a.Status == call.OK)
+	ok := a.Status == call.OK
+	if ok {
+		n.usual.Took(q.route.Name, took)
 	}
-	if a.Status != call.OK {
+	if q.HTTP.Begun {
+		n.running.called(q.ID, !ok, scarce)
 		return
 	}
-	n.usual.Took(q.route.Name, took)
-	if !q.HTTP.Begun && scarce > 0 {
+	if a.Status != call.NotRun && !left {
+		n.prospects.Ended(q.route.Name, q.route.Priority, ok)
+	}
+	if ok && scarce > 0 {
 		n.costs.Took(q.route.Name, q.route.Priority, scarce)
 	}
 }
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -147,8 +147,9 @@
 		stop:     make(chan struct{}),
 	}
 	n.witness = vouch.NewWitness(vouch.Config{Listed: n.listed, Probe: n.probe, SourceLost: n.dir.SourceLost})
-	n.prospects = admit.NewProspects(cfg.Policies.admission(n.board))
-	n.admission = choose[admit.Admission](cfg.Policies.Prospects, n.prospects, cfg.Policies.admission(n.board))
+	byLoad := cfg.Policies.admission(n.board)
+	n.prospects = admit.NewProspects(byLoad)
+	n.admission = choose[admit.Admission](cfg.Policies.Prospects, n.prospects, byLoad)
 	n.levels = cfg.Policies.levels(n.costs)
 	n.patience, n.comeBack = cfg.Policies.patience(), cfg.Policies.comeBack()
 	n.tuning.Store(&cfg.Tuning)
