Refuse new requests of a stopping node by its grace, not by a fixed time

Cause: a stopping node took callers' requests until 2.8 s, whatever its grace, and waited for answers until nine tenths of the grace. With three seconds that is 2.7 s: what it took in between or shortly before was cut. Now it refuses after 7/15 of the grace: 2.8 s of six as before, 1.4 s of three.

--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -154,7 +154,7 @@
 // some target on its way is too busy for: it would run in part, for nothing,
 // and take room from those that can be done.
 func (n *Node) admitNew(rt *directory.Route, level call.Level, left time.Duration) *refusal {
-	if since, ok := n.leavingSince(); ok && since > refuseAfter {
+	if since, ok := n.leavingSince(); ok && since > n.cfg.Grace*refuseNum/refuseDen {
 		return &refusal{code: http.StatusServiceUnavailable, cause: causeLeaving, after: comeBackLeaving, why: "node is leaving"}
 	}
 	if up := n.admission.Threshold(rt.Name); level > up {
--- a/sidecar/leaving.go
+++ b/sidecar/leaving.go
@@ -15,10 +15,13 @@
 	// the instance without work for three seconds at each restart, a third
 	// of the room of a service with three instances.
 	peersAfter = 1200 * time.Millisecond
-	// refuseAfter is when a stopping node begins to refuse callers' new
-	// requests: what it accepts later than this could still run when its
-	// grace ends.
-	refuseAfter = 2800 * time.Millisecond
+	// refuseNum / refuseDen is the part of its grace after which a stopping
+	// node refuses callers' new requests: what it accepts later could still
+	// run when the grace ends, and would be cut. Of six seconds it is 2.8,
+	// past the two that the platform needs to send no more; a fixed time
+	// would lie behind the last answer where the grace is short.
+	refuseNum = 7
+	refuseDen = 15
 	// lastAnswerNum / lastAnswerDen is the part of its grace after which a
 	// stopping node waits for nothing more, to be gone before it is killed.
 	lastAnswerNum = 9
