--- a/membership/fake_test.go
+++ b/membership/fake_test.go
@@ -88,6 +88,16 @@
 
 // put lists an instance anew, or one that changed.
 func (s *store) put(in directory.Instance) {
+	s.write(in)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// write is put without a word to those that wait: only a call that is made
+// later tells of it.
+func (s *store) write(in directory.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	in.Revision = s.rev + 1
@@ -108,6 +118,8 @@
 	}
 	delete(s.items, id)
 	s.note(directory.Change{Gone: id, GoneAt: s.rev + 1})
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *store) note(c directory.Change) {
@@ -118,8 +130,6 @@
 		state[id] = in.Revision
 	}
 	s.states = append(s.states, state)
-	close(s.changed)
-	s.changed = make(chan struct{})
 }
 
 func (s *store) revision() directory.Revision {
@@ -202,7 +212,7 @@
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
 		case <-end:
-			return nil, rev, nil
+			return nil, after, nil
 		case <-changed:
 		}
 	}
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -130,6 +130,29 @@
 	}
 }
 
+// The operator submits two versions shortly after each other. The store ends
+// all watches at the first and keeps the second to itself. Every reader waits
+// on, no request goes from node to node, and nobody may be left with the first
+// for longer than a version may take to be in force.
+func TestAChangeThatNoWatchIsToldOfReachesAllNodes(t *testing.T) {
+	inForce := map[int]time.Duration{15: 2 * time.Second, 200: 3 * time.Second, 1100: 9 * time.Second}
+	for _, s := range sizes {
+		inFleet(t, s.nodes, s.dcs, func(t *testing.T, f *fleet) {
+			f.store.put(f.order[0].in)
+			time.Sleep(time.Second)
+			f.store.write(f.order[1].in)
+			began := time.Now()
+			for len(f.behind()) > 0 && time.Since(began) < inForce[s.nodes] {
+				time.Sleep(10 * time.Millisecond)
+			}
+			t.Logf("%d nodes: all in %v", s.nodes, time.Since(began))
+			Convey(fmt.Sprint("At ", s.nodes, " nodes all have it in time"), t, func() {
+				So(f.behind(), ShouldBeEmpty)
+			})
+		})
+	}
+}
+
 // All readers of one data centre lose power together. Its other nodes would
 // go on for ever with what they know; the next in the order read instead.
 func TestOthersReadWhereAllReadersAreGone(t *testing.T) {
