Weigh ten instances for a request instead of all

Now half of ten come from the node's own data centre and half from all, from a random one on; all, where none of those will do. Ruled out: two random choices (two slow ones meet once in nine draws where a third are slow), an index by cost (what counts changes with every answer).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -75,6 +75,7 @@
 		Slow    float64 // for each time that it is slower than usual
 		Tight   float64 // the same for an action, by the part of its time it takes
 		Explore int     // one of so many actions goes to any sound instance; 0 for none
+		Sample  int     // so many instances are weighed for a request; 0 for all
 	}
 
 	// Config is what a Balancer is built from.
@@ -97,6 +98,7 @@
 	Ask struct {
 		Route     string
 		Instances []directory.Instance
+		Near      []directory.Instance   // those in the node's own data centre; may be left out
 		Tried     []directory.InstanceID // not to be picked
 		// Once says that it cannot be sent again when it may have run.
 		Once bool
@@ -129,7 +131,7 @@
 
 // Usual are the weights that are measured to serve best.
 func Usual() Weights {
-	return Weights{Far: farCost, Fail: failCost, Told: 1, Slow: slowCost, Tight: tightCost, Explore: exploreOne}
+	return Weights{Far: farCost, Fail: failCost, Told: 1, Slow: slowCost, Tight: tightCost, Explore: exploreOne, Sample: sample}
 }
 
 // New returns a Balancer that knows no instance.
@@ -140,41 +142,20 @@
 // Pick chooses an instance for a request and counts the request as
 // outstanding there until Done. ok is false when none is left.
 func (b *Balancer) Pick(a Ask) (in directory.Instance, ok bool) {
-	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	explore := a.Once && b.cfg.Weights.Explore > 0 && rand.N(b.cfg.Weights.Explore) == 0
-	certain := anyCertain(a.Instances)
-	best, avoided := -1, -1
-	var bestCost, avoidedCost float64
-	for i := range a.Instances {
-		in := &a.Instances[i]
-		if in.Leaving || (certain && in.Doubtful) || contains(a.Tried, in.ID) {
-			continue
-		}
-		s := b.state(in.Start())
-		cost := b.cost(in, s, now) + b.tightness(&a, s, now)
-		if now.Before(s.avoidUntil) {
-			if avoided < 0 || cost < avoidedCost {
-				avoided, avoidedCost = i, cost
-			}
-			continue
-		}
-		if explore && b.failing(s) < sound && s.used(in) < roomy {
-			cost = rand.Float64() - exploreFirst
-		}
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
-		}
-	}
-	if best < 0 {
-		best = avoided
+	c := choice{b: b, ask: &a, now: time.Now(), certain: anyCertain(a.Instances)}
+	c.explore = a.Once && b.cfg.Weights.Explore > 0 && rand.N(b.cfg.Weights.Explore) == 0
+	c.look()
+	best := c.best
+	if best == nil {
+		best = c.avoided
 	}
-	if best < 0 {
+	if best == nil {
 		return directory.Instance{}, false
 	}
-	b.state(a.Instances[best].Start()).outstanding++
-	return a.Instances[best], true
+	b.state(best.Start()).outstanding++
+	return *best, true
 }
 
 // tightness is what an instance's speed on a route costs an action besides.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,11 +1,13 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/directory"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -223,17 +225,29 @@
 }
 
 // BenchmarkPick measures choosing among the instances of a service at the
-// size to design for: 1,100 instances in 120 services.
+// size to design for, 1,100 instances in 120 services, and among a hundred.
 func BenchmarkPick(b *testing.B) {
-	bal := New(Config{DC: "nord", Weights: Usual()})
-	var ins []directory.Instance
-	for i := range 10 {
-		ins = append(ins, directory.Instance{ID: directory.InstanceID(rune('a' + i)), DC: "nord", Slots: 100})
-	}
-	b.ReportAllocs()
-	for b.Loop() {
-		in, _ := bal.Pick(Ask{Instances: ins})
-		bal.Done(in.Start(), Outcome{Took: time.Millisecond})
+	for _, size := range []int{10, 100} {
+		for _, sample := range []int{0, sample} {
+			b.Run(fmt.Sprintf("instances=%d/sample=%d", size, sample), func(b *testing.B) {
+				w := Usual()
+				w.Sample = sample
+				bal := New(Config{DC: "dc-0", Weights: w})
+				var ins, near []directory.Instance
+				for i := range size {
+					in := directory.Instance{ID: directory.InstanceID(fmt.Sprint("i-", i)), DC: callgraph.DC(fmt.Sprint("dc-", i%5)), Slots: 100}
+					ins = append(ins, in)
+					if in.DC == "dc-0" {
+						near = append(near, in)
+					}
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					in, _ := bal.Pick(Ask{Instances: ins, Near: near})
+					bal.Done(in.Start(), Outcome{Took: time.Millisecond})
+				}
+			})
+		}
 	}
 }
 
--- a/directory/instances.go
+++ b/directory/instances.go
@@ -41,10 +41,16 @@
 		Revision Revision // at which its entry last changed
 	}
 
+	// group is the instances of one service.
+	group struct {
+		all  []Instance
+		byDC map[callgraph.DC][]Instance
+	}
+
 	// View is what a node knows at one moment; it never changes.
 	View struct {
 		Routes   *Routes // nil while none are known
-		services map[string][]Instance
+		services map[string]*group
 		byAddr   map[string]Instance
 		ids      map[InstanceID]Instance
 	}
@@ -54,7 +60,7 @@
 // name: an entry of another writer could otherwise hide the instance that is
 // at its address.
 func newView(routes *Routes, ids map[InstanceID]Instance) *View {
-	v := &View{Routes: routes, services: map[string][]Instance{}, byAddr: map[string]Instance{}, ids: map[InstanceID]Instance{}}
+	v := &View{Routes: routes, services: map[string]*group{}, byAddr: map[string]Instance{}, ids: map[InstanceID]Instance{}}
 	for id, in := range ids {
 		if !routes.names(in.Service) {
 			continue
@@ -65,7 +71,13 @@
 		}
 	}
 	for _, in := range v.byAddr {
-		v.services[in.Service] = append(v.services[in.Service], in)
+		g := v.services[in.Service]
+		if g == nil {
+			g = &group{byDC: map[callgraph.DC][]Instance{}}
+			v.services[in.Service] = g
+		}
+		g.all = append(g.all, in)
+		g.byDC[in.DC] = append(g.byDC[in.DC], in)
 	}
 	return v
 }
@@ -87,7 +99,20 @@
 // latest is there: after a loss of power the entries of those that ended stay
 // listed for seconds beside the new ones, and every second try would go to an
 // instance that is no more.
-func (v *View) Instances(service string) []Instance { return v.services[service] }
+func (v *View) Instances(service string) []Instance {
+	if g := v.services[service]; g != nil {
+		return g.all
+	}
+	return nil
+}
+
+// Near returns those of them that are in a data centre.
+func (v *View) Near(service string, dc callgraph.DC) []Instance {
+	if g := v.services[service]; g != nil {
+		return g.byDC[dc]
+	}
+	return nil
+}
 
 // HealthPath returns the path at which the instances of a service answer
 // whether they are well; empty if none is known.
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -81,7 +81,8 @@
 // actions: their calls are made from where they are served, and would all
 // fall on what is near the fastest instance.
 func (n *Node) ask(q *request, tried []directory.InstanceID) balance.Ask {
-	a := balance.Ask{Route: q.route.Name, Instances: n.dir.View().Instances(q.Service), Tried: tried}
+	v := n.dir.View()
+	a := balance.Ask{Route: q.route.Name, Instances: v.Instances(q.Service), Near: v.Near(q.Service, n.cfg.DC), Tried: tried}
 	if n.board.Threshold(q.route.Name) == admit.Top {
 		a.Once, a.Time = !q.route.Idempotent, time.Until(q.deadline)
 	}
--- a/sidecar/policies.go
+++ b/sidecar/policies.go
@@ -26,6 +26,7 @@
 	Speed       bool `ini:"speed"`        // slow instances get less
 	Tight       bool `ini:"tight"`        // actions with little time go to fast instances
 	Explore     bool `ini:"explore"`      // and now and then to any
+	Sample      bool `ini:"sample"`       // a few instances are weighed for a request, not all
 	Vouch       bool `ini:"vouch"`        // nodes vouch for instances whose entries went
 	Doubt       bool `ini:"doubt"`        // entries missing after an outage are kept for a while
 	Suspicion   bool `ini:"suspicion"`    // peers that answer no ping are passed over
@@ -38,7 +39,7 @@
 // Usual has every policy on.
 func Usual() Policies {
 	return Policies{Thresholds: true, Prospects: true, Costs: true, Parts: true, Patience: true, ComeBack: true,
-		Repeats: true, Told: true, Speed: true, Tight: true, Explore: true, Vouch: true, Doubt: true, Suspicion: true,
+		Repeats: true, Told: true, Speed: true, Tight: true, Explore: true, Sample: true, Vouch: true, Doubt: true, Suspicion: true,
 		Spread: true, Readers: true, ServePeers: true, DecisionLog: true}
 }
 
@@ -65,6 +66,7 @@
 	w.Slow = choose(p.Speed, w.Slow, 0)
 	w.Tight = choose(p.Tight, w.Tight, 0)
 	w.Explore = choose(p.Explore, w.Explore, 0)
+	w.Sample = choose(p.Sample, w.Sample, 0)
 	return balance.Config{DC: dc, Weights: w}
 }
 
