--- a/call/http.go
+++ b/call/http.go
@@ -65,5 +65,6 @@
 		// Scarce is the slot time that the request took, with all its calls,
 		// at targets that are short of room.
 		Scarce time.Duration
+		Binds  string // service that Admit is the threshold of; empty if all is served
 	}
 )
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -68,7 +68,7 @@
 	if t.unreachable == len(t.asked) {
 		// Nobody can serve this route from here. Requests that would call on
 		// it are refused where they enter, before their work is begun.
-		n.board.Told(q.route.Name, 0)
+		n.board.Unreachable(q.route.Name, q.Service)
 	}
 	if last.Status == call.NotRun && last.RetryAfter == 0 {
 		last.RetryAfter = n.comeBack(n.times(q.route, time.Until(q.deadline)))
@@ -116,7 +116,7 @@
 	n.balancer.Done(in.Start(), o)
 	n.stats.tried(q.Service, a.Status, time.Since(sent))
 	if a.Load != nil {
-		n.board.Told(q.route.Name, a.Load.Admit)
+		n.board.Told(q.route.Name, a.Load.Admit, a.Load.Binds)
 	}
 	if a.Status != call.OK {
 		n.note.Note("try_ended", func() log.Fields {
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -127,7 +127,10 @@
 func (n *Node) withLoad(r call.Request, a call.Answer) call.Answer {
 	l := n.gate.Load()
 	l.Failing = n.health.Failing()
-	l.Admit = min(n.meter.Threshold(), n.board.Below(r.Operation))
+	l.Admit, l.Binds = n.board.Below(r.Operation)
+	if own := n.meter.Threshold(); own < l.Admit {
+		l.Admit, l.Binds = own, n.cfg.Service
+	}
 	a.Load = &l
 	return a
 }
