Send elsewhere at once what a target is too slow for

Nothing completes meanwhile, so the mean service time says nothing; fetches wait at the gate until their time is up, and the chain above is lost.

slots.Pace looks at the requests that run: their mean age, without the time in calls of their own, against what they usually take. A target that is slower than chance allows is known within half a second; what it cannot do in the time left is refused unrun, which costs no repeat, and another instance gets it. Callers are told how slow it is. A sixteenth of the slots is used all the same, to see when it is over.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -124,6 +124,7 @@
 		byRoute     map[string]speed
 		health      Health  // by this node's own requests
 		told        float64 // part that fails, as the instance's node told
+		toldSlow    float64 // by how much it is slower than lately, as that told
 		toldAt      time.Time
 		avoidUntil  time.Time
 	}
@@ -186,7 +187,7 @@
 	}
 	if o.Load != nil {
 		s.load, s.loadAt = *o.Load, s.outstanding
-		s.told, s.toldAt = o.Load.Failing, now
+		s.told, s.toldSlow, s.toldAt = o.Load.Failing, o.Load.Slow-1, now
 	}
 	s.health.Note(o.Failed || o.Refused)
 	if o.Took > 0 {
@@ -247,7 +248,8 @@
 		c += b.cfg.Weights.Far
 	}
 	c += b.cfg.Weights.Fail * b.failing(s)
-	c += min(slowMost, b.cfg.Weights.Slow*s.slow.over(now, slowForget))
+	slow := max(s.slow.over(now, slowForget), b.cfg.Weights.Told*faded(s.toldSlow, s.toldAt))
+	c += min(slowMost, b.cfg.Weights.Slow*slow)
 	return c + jitter*rand.Float64()
 }
 
--- a/call/http.go
+++ b/call/http.go
@@ -65,6 +65,7 @@
 		// Scarce is the slot time that the request took, with all its calls,
 		// at targets that are short of room.
 		Scarce time.Duration
-		Binds  string // service that Admit is the threshold of; empty if all is served
+		Slow   float64 // how many times longer the target takes than lately; 1 for as usual
+		Binds  string  // service that Admit is the threshold of; empty if all is served
 	}
 )
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -141,7 +141,7 @@
 // place returns a request's origin; a call has the level of the request that
 // it is made for.
 func (n *Node) place(id call.RequestID, rt *directory.Route) origin {
-	if p, ok := n.running.parent(id); ok {
+	if p, ok := n.running.calling(id); ok {
 		n.board.Called(p.route, rt.Name)
 		return origin{level: p.level, begun: true, repeat: p.repeat}
 	}
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -25,6 +25,7 @@
 		// What failed, and what the open connections lead to, ended with
 		// the start before.
 		n.health.Reset()
+		n.pace.Reset()
 		n.target.Close()
 	}
 	if old == nil || old.Slots != in.Slots {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -83,6 +83,7 @@
 		balancer  *balance.Balancer
 		gate      *slots.Gate
 		work      *slots.Work // of the local target, by route
+		pace      *slots.Pace // of the local target
 		usual     *slots.Work // of whole requests that began here, by route
 		meter     *admit.Meter
 		health    balance.Health // of the local target
@@ -139,6 +140,7 @@
 		gate:     slots.NewGate(firstSlots, cfg.Policies.order()),
 		work:     slots.NewWork(),
 		usual:    slots.NewWork(),
+		pace:     slots.NewPace(),
 		meter:    admit.NewMeter(firstSlots),
 		board:    admit.NewBoard(),
 		costs:    admit.NewCosts(),
--- a/sidecar/policies.go
+++ b/sidecar/policies.go
@@ -19,6 +19,7 @@
 	Prospects   bool `ini:"prospects"`    // and those of routes whose requests nearly all fail
 	Costs       bool `ini:"costs"`        // kinds of request are admitted by their cost
 	Parts       bool `ini:"parts"`        // what waits goes by part, not by arrival
+	Pace        bool `ini:"pace"`         // what a target is too slow for is refused at once
 	Patience    bool `ini:"patience"`     // new requests wait only while their answer can be on time
 	ComeBack    bool `ini:"come_back"`    // refused callers are told a time that suits theirs
 	Repeats     bool `ini:"repeats"`      // requests are sent to a second instance
@@ -38,7 +39,7 @@
 
 // Usual has every policy on.
 func Usual() Policies {
-	return Policies{Thresholds: true, Prospects: true, Costs: true, Parts: true, Patience: true, ComeBack: true,
+	return Policies{Thresholds: true, Prospects: true, Costs: true, Parts: true, Pace: true, Patience: true, ComeBack: true,
 		Repeats: true, Told: true, Speed: true, Tight: true, Explore: true, Sample: true, Vouch: true, Doubt: true, Suspicion: true,
 		Spread: true, Readers: true, ServePeers: true, DecisionLog: true}
 }
--- a/sidecar/running.go
+++ b/sidecar/running.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/slots"
 )
 
 type (
@@ -25,6 +26,7 @@
 		repeat bool
 		broken bool          // a call made for it has failed
 		scarce time.Duration // slot time its calls took at targets short of room
+		work   *slots.Run
 	}
 )
 
@@ -58,11 +60,12 @@
 		v.broken = v.broken || failed
 		v.scarce += scarce
 		r.byID[parent] = v
+		v.work.Return()
 	}
 }
 
-// parent returns the running request that a call is made for.
-func (r *running) parent(id call.RequestID) (run, bool) {
+// calling notes that a call is made for a running request, and returns that.
+func (r *running) calling(id call.RequestID) (run, bool) {
 	parent, ok := parentID(id)
 	if !ok {
 		return run{}, false
@@ -70,6 +73,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v, ok := r.byID[parent]
+	if ok {
+		v.work.Call()
+	}
 	return v, ok
 }
 
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -21,6 +21,10 @@
 	// its missing answer to speak against the instance; by chance alone one
 	// in a hundred takes that long.
 	slowTimes = 2
+	// paceProbes is the part of its slots that a target which is too slow for
+	// what comes is given all the same: three of fifty show within a second
+	// that it is as before, and fail if it is not.
+	paceProbes = 16
 )
 
 // servePeer serves a request that came from another node.
@@ -65,6 +69,9 @@
 		return a
 	}
 	deadline, _ := ctx.Deadline()
+	if !n.inTime(r, deadline) {
+		return n.withLoad(r, call.Refuse(r, "target: too slow for the time left", 0))
+	}
 	n.board.See(r.HTTP.Level)
 	n.meter.Arrive(r.HTTP.Level, n.work.Mean(r.Operation, firstWork), n.gate.Waiting())
 	waited, err := n.gate.Enter(ctx, slots.Ticket{Level: r.HTTP.Level, Deadline: deadline, Patience: r.HTTP.Patience})
@@ -81,11 +88,13 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline)
 		defer cancel()
 	}
-	n.running.add(r.ID, run{route: r.Operation, level: r.HTTP.Level, repeat: r.HTTP.Repeat})
+	work := n.pace.Begin(r.Operation)
+	n.running.add(r.ID, run{route: r.Operation, level: r.HTTP.Level, repeat: r.HTTP.Repeat, work: work})
 	began := time.Now()
 	a := n.callTarget(ctx, r, deadline)
 	took := time.Since(began)
 	was := n.running.remove(r.ID)
+	work.End(a.Status == call.OK)
 	n.health.Note(n.targetFailed(ctx, r, a, was, took))
 	scarce := was.scarce
 	if n.meter.Threshold() < admit.Top {
@@ -102,6 +111,18 @@
 	return a
 }
 
+// inTime reports whether the local target can do a request in the time that
+// is left, at its present pace. One that turned slow would take it, fail it at
+// its deadline and lose the work of all requests above; refused at once, it is
+// done by another instance. A few go to it all the same, to show its pace.
+func (n *Node) inTime(r call.Request, deadline time.Time) bool {
+	if !n.cfg.Policies.Pace || n.pace.Needs(r.Operation) <= time.Until(deadline) {
+		return true
+	}
+	l := n.gate.Load()
+	return l.Busy <= l.Limit/paceProbes
+}
+
 // targetFailed reports whether the local target failed a request by itself:
 // not when its caller has left, when a call that it made was refused or
 // failed elsewhere, or when it was given less time than it usually takes.
@@ -126,7 +147,7 @@
 // are not too busy that a request by this route meets.
 func (n *Node) withLoad(r call.Request, a call.Answer) call.Answer {
 	l := n.gate.Load()
-	l.Failing = n.health.Failing()
+	l.Failing, l.Slow = n.health.Failing(), n.pace.Slow()
 	l.Admit, l.Binds = n.board.Below(r.Operation)
 	if own := n.meter.Threshold(); own < l.Admit {
 		l.Admit, l.Binds = own, n.cfg.Service
