--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -143,6 +143,7 @@
 	gauge("oatpin_target_queued", func() float64 { return float64(n.gate.Load().Queued) })
 	gauge("oatpin_target_limit", func() float64 { return float64(n.gate.Load().Limit) })
 	gauge("oatpin_target_failing_ratio", n.health.Failing)
+	gauge("oatpin_target_slow", n.pace.Slow)
 	gauge("oatpin_admitted_level", func() float64 { return float64(n.meter.Threshold()) })
 	gauge("oatpin_routes_version", func() float64 { return float64(n.version()) })
 	gauge("oatpin_directory_revision", func() float64 { return float64(n.revision()) })
