--- a/membership/member.go
+++ b/membership/member.go
@@ -104,7 +104,7 @@
 	for ctx.Err() == nil {
 		readers := m.readers()
 		reads := m.cfg.Peers == nil || len(readers) == 0 || slices.Contains(readers, m.cfg.Self)
-		m.play(ctx, reads)
+		m.setReader(ctx, reads)
 		m.turn++
 		switch {
 		case !reads:
@@ -149,8 +149,8 @@
 	return m.roster().readers(m.cfg.DC, func(a Addr) bool { return a != m.cfg.Self && m.pauses.paused(a, now) })
 }
 
-// play makes this node a reader of the source, or ends that.
-func (m *Member) play(ctx context.Context, reads bool) {
+// setReader makes this node a reader of the source, or ends that.
+func (m *Member) setReader(ctx context.Context, reads bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.reads == reads {
