--- a/directory/backoff.go
+++ b/directory/backoff.go
@@ -29,13 +29,13 @@
 }
 
 // Wait pauses for the next time, or until ctx ends.
-func (b *Backoff) Wait(ctx context.Context) { pause(ctx, b.Next()) }
+func (b *Backoff) Wait(ctx context.Context) { Pause(ctx, b.Next()) }
 
 // Reset begins anew after a success.
 func (b *Backoff) Reset() { b.next = 0 }
 
-// pause waits for a time or ctx's end.
-func pause(ctx context.Context, d time.Duration) {
+// Pause waits for a time or ctx's end.
+func Pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -150,7 +150,7 @@
 	r.d.Back()
 	r.d.Apply(changes, next)
 	if len(changes) > 0 {
-		pause(ctx, gatherLeast+rand.N(gatherMost-gatherLeast))
+		Pause(ctx, gatherLeast+rand.N(gatherMost-gatherLeast))
 		r.wait = 0
 	}
 	return nil
--- a/membership/fake_test.go
+++ b/membership/fake_test.go
@@ -164,13 +164,13 @@
 	l.store.calls.Add(1)
 	switch {
 	case l.out():
-		sleep(ctx, sourceSilence)
+		directory.Pause(ctx, sourceSilence)
 		return errCut
 	case l.turned.Load():
-		sleep(ctx, sourceTime)
+		directory.Pause(ctx, sourceTime)
 		return errTurned
 	}
-	sleep(ctx, sourceTime)
+	directory.Pause(ctx, sourceTime)
 	return ctx.Err()
 }
 
@@ -203,7 +203,7 @@
 		s.mu.Unlock()
 		switch {
 		case l.out():
-			sleep(ctx, sourceSilence)
+			directory.Pause(ctx, sourceSilence)
 			return nil, 0, errCut
 		case rev > after:
 			return changes, rev, nil
@@ -234,17 +234,17 @@
 	f.messages.Add(1)
 	switch {
 	case o == nil || !o.alive:
-		sleep(ctx, 2*wayTime)
+		directory.Pause(ctx, 2*wayTime)
 		return directory.Delta{}, errCut
 	case f.apart(n, o):
-		sleep(ctx, peerSilence)
+		directory.Pause(ctx, peerSilence)
 		return directory.Delta{}, errCut
 	}
-	sleep(ctx, wayTime)
+	directory.Pause(ctx, wayTime)
 	o.Wanted()
 	x := o.dir.Await(ctx, after, wait)
 	if f.apart(n, o) {
-		sleep(ctx, peerSilence)
+		directory.Pause(ctx, peerSilence)
 		return directory.Delta{}, errCut
 	}
 	if !o.dir.Listed() || !o.alive {
@@ -256,7 +256,7 @@
 	}
 	f.messages.Add(1)
 	f.bytes.Add(int64(len(b)))
-	sleep(ctx, wayTime)
+	directory.Pause(ctx, wayTime)
 	return directory.Decode(b)
 }
 
--- a/membership/member.go
+++ b/membership/member.go
@@ -219,7 +219,7 @@
 // askOneOf asks one of some nodes, the next with the next turn.
 func (m *Member) askOneOf(ctx context.Context, nodes []Addr, turn int, wait time.Duration) {
 	if m.cfg.Peers == nil || len(nodes) == 0 {
-		sleep(ctx, wait)
+		directory.Pause(ctx, wait)
 		return
 	}
 	m.ask(ctx, nodes[turn%len(nodes)], wait)
@@ -267,18 +267,9 @@
 		x, err := m.cfg.Peers.Since(ctx, at, 0, joinWait)
 		m.counts.ask(err)
 		if err != nil {
-			sleep(ctx, joinSpacing)
+			directory.Pause(ctx, joinSpacing)
 			continue
 		}
 		m.dir.Learn(x)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
