Tell everything to a node that is behind what was read whole

The revision of what was read whole is now the one up to which removals are not known, and whoever is behind it is told everything. Ruled out: late messages and gaps (refused already). The new test lists the removed instance without the change.

--- a/directory/delta.go
+++ b/directory/delta.go
@@ -29,7 +29,7 @@
 	// removals are the latest removals, of each id the last.
 	removals struct {
 		at map[InstanceID]Revision
-		// floor is the revision up to which some were forgotten.
+		// floor is the revision up to which some are not known, or forgotten.
 		floor Revision
 	}
 )
--- a/directory/delta_test.go
+++ b/directory/delta_test.go
@@ -125,3 +125,21 @@
 		})
 	})
 }
+
+// A reader starts, and reads everything after an instance was removed, so it
+// never knew that one. A node that still lists it asks the reader for what it
+// lacks: without the removal it would send requests to the address for ever.
+func TestWhoReadEverythingTellsOfRemovalsThatItNeverSaw(t *testing.T) {
+	Convey("By telling everything", t, func() {
+		behind := New(Usual(quiet))
+		leaving := instance("a", 3)
+		leaving.Leaving = true
+		behind.Replace(Snapshot{Revision: 5, Instances: []Instance{leaving, instance("b", 4)}})
+		reader := New(Usual(quiet))
+		reader.Replace(Snapshot{Revision: 9, Instances: []Instance{instance("b", 4)}})
+		So(behind.Learn(reader.Since(5)), ShouldBeTrue)
+		_, listed := behind.View().Find("a")
+		So(listed, ShouldBeFalse)
+		So(reader.Since(9).After, ShouldEqual, 9)
+	})
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -141,6 +141,9 @@
 			d.remove(id, s.Revision)
 		}
 	}
+	// What was removed up to here, of entries that were never held, is not
+	// known: others that are behind it are told everything.
+	d.gone.floor = max(d.gone.floor, s.Revision)
 	d.listed = true
 	d.advance(s.Revision)
 	d.publish()
