Tell which requests were in progress when an instance ended

On-call engineers see tries that end with "no whole answer from the target" and cannot tell whether the instance broke one connection or ended, what else was in progress there, or whether two tries with different ids are the same request.

The node beside an instance now looks, once for all requests whose connections break together, whether anything still listens; it writes target_ended, and a line with the fingerprint of each request that was in progress. A fingerprint is a hash of method, host, path and query, and body, and stands on try_ended too. No decision changes.

--- /dev/null
+++ b/sidecar/ends_test.go
@@ -0,0 +1,61 @@
+package sidecar
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// An instance ends with several requests in progress. On-call engineers see
+// that it ended, once, and which requests were in progress there; a broken
+// connection alone is no end.
+func TestTheEndOfATargetIsSeenOnce(t *testing.T) {
+	Convey("The first request that fails looks for all", t, func() {
+		var e ends
+		began := time.Now()
+		looks := 0
+		gone := func() bool { looks++; return true }
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		firsts := 0
+		failed := time.Now()
+		for range 20 {
+			wg.Go(func() {
+				ended, first := e.since(began, failed, gone)
+				mu.Lock()
+				defer mu.Unlock()
+				if first {
+					firsts++
+				}
+				if !ended {
+					t.Error("not seen")
+				}
+			})
+		}
+		wg.Wait()
+		So(looks, ShouldEqual, 1)
+		So(firsts, ShouldEqual, 1)
+		Convey("What began after it did not run under it", func() {
+			later := time.Now()
+			ended, _ := e.since(later, time.Now(), func() bool { return false })
+			So(ended, ShouldBeFalse)
+		})
+	})
+	Convey("Of two nodes' targets, one ends and one breaks off", t, func() {
+		m := newMesh(t, "archiv", "versand")
+		m.vms[0].target.on(func(http.ResponseWriter, *http.Request) { m.vms[0].crash() })
+		m.vms[1].target.on(func(w http.ResponseWriter, _ *http.Request) {
+			if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+				c.Close()
+			}
+		})
+		m.get(m.vms[0], "/read/x")
+		m.get(m.vms[1], "/lookup/x")
+		So(m.vms[0].node.ends.ended.IsZero(), ShouldBeFalse)
+		So(m.vms[1].node.ends.ended.IsZero(), ShouldBeTrue)
+		So(m.vms[1].node.ends.looked.IsZero(), ShouldBeFalse)
+	})
+}
--- a/sidecar/fake_test.go
+++ b/sidecar/fake_test.go
@@ -43,6 +43,7 @@
 		target *fakeTarget
 		ip     string
 		self   directory.Instance
+		server *http.Server // of target
 		ended  chan error
 	}
 
@@ -157,14 +158,23 @@
 func (m *mesh) start(ip, service string) *vm {
 	v := &vm{ip: ip, target: &fakeTarget{id: "i-" + ip, ran: map[string]int{}}, ended: make(chan error, 1)}
 	l := listenOn(m.t, ip)
-	srv := &http.Server{Handler: v.target}
-	go srv.Serve(l)
-	m.until = append(m.until, func() { srv.Close() })
 	v.self = directory.Instance{ID: directory.InstanceID(v.target.id), Service: service, DC: "nord", Addr: l.Addr().String(), Slots: 20, Revision: 1}
+	v.serve(l)
+	m.until = append(m.until, v.crash)
 	m.run(v)
 	return v
 }
 
+// serve lets v's target answer at a listener.
+func (v *vm) serve(l net.Listener) {
+	v.server = &http.Server{Handler: v.target}
+	go v.server.Serve(l)
+}
+
+// crash ends v's target: nothing listens any more, and all its connections
+// break.
+func (v *vm) crash() { v.server.Close() }
+
 // run starts a node beside v's target.
 func (m *mesh) run(v *vm) {
 	lg := &log.Logger{Handler: discard.New()}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -10,6 +10,7 @@
 	"github.com/oatpin/oatpin/balance"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/quarantine"
 )
 
 const (
@@ -120,7 +121,7 @@
 	}
 	if a.Status != call.OK {
 		n.note.Note("try_ended", func() log.Fields {
-			f := log.Fields{"id": q.ID, "route": q.route.Name, "service": q.Service, "instance": in.ID, "dc": in.DC, "revision": in.Revision,
+			f := log.Fields{"id": q.ID, "fingerprint": quarantine.FingerprintOf(&q.Request).String(), "route": q.route.Name, "service": q.Service, "instance": in.ID, "dc": in.DC, "revision": in.Revision,
 				"status": a.Status, "why": a.Reason, "reached": a.Reached, "took_ms": time.Since(sent).Milliseconds(), "try": len(t.asked)}
 			if a.HTTP != nil {
 				f["code"] = a.HTTP.Code
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -97,6 +97,7 @@
 		running   *running
 		witness   *vouch.Witness // of the local instance
 		asking    asking         // the nodes of unlisted instances
+		ends      ends           // of the local target
 		member    *membership.Member
 		target    *targetconn.Pool
 		peers     *wire.Pool
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -170,6 +170,7 @@
 	h.Set(names.Deadline, strconv.FormatInt(left, 10))
 	h.Set(names.ExpectedInstance, r.To)
 	h.Set(names.CallerService, r.HTTP.Caller)
+	began := time.Now()
 	got, err := n.target.Do(ctx, &targetconn.Request{ID: r.ID, Method: r.HTTP.Method, Host: r.HTTP.Host, URI: r.HTTP.URI, Header: h, Body: r.Body})
 	switch {
 	case errors.Is(err, targetconn.ErrNotSent):
@@ -178,6 +179,7 @@
 		}
 		return call.Refuse(r, err.Error(), 0)
 	case err != nil:
+		n.endedUnder(ctx, &r, began)
 		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), Reached: true}
 	}
 	return n.judge(r, got)
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -129,6 +129,11 @@
 	}).Inc()
 }
 
+// targetEnded counts one end of the local target.
+func (s *stats) targetEnded() {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_target_ends_total{node=%q}`, s.node)).Inc()
+}
+
 // misread counts one message of another node that could not be decoded.
 func (s *stats) misread() {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_messages_misread_total{node=%q}`, s.node)).Inc()
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -132,6 +132,19 @@
 	return a, nil
 }
 
+// Ended reports whether nothing listens at the target's address: its process
+// is gone. A connection that this opens is kept for the next request.
+func (p *Pool) Ended(ctx context.Context) bool {
+	nc, err := p.cfg.Dial(ctx, p.cfg.Addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c := newConn(nc)
+	c.until = time.Now().Add(idleDefault)
+	p.put(c)
+	return false
+}
+
 // Close closes the idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -153,7 +166,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{nc: nc, r: bufio.NewReader(nc), w: bufio.NewWriter(nc)}, nil
+	return newConn(nc), nil
+}
+
+func newConn(nc net.Conn) *conn {
+	return &conn{nc: nc, r: bufio.NewReader(nc), w: bufio.NewWriter(nc)}
 }
 
 func (p *Pool) pop() *conn {
--- a/targetconn/pool_test.go
+++ b/targetconn/pool_test.go
@@ -351,3 +351,28 @@
 		}
 	}
 }
+
+// A target breaks a connection off and lives; another is gone, and so are all
+// of its connections. Only the second has ended.
+func TestAnEndedTargetIsToldFromABrokenConnection(t *testing.T) {
+	Convey("A target that answers a new connection has not ended, and keeps it", t, func() {
+		p, conns := startTarget(t, func(n int, c net.Conn, r *bufio.Reader) {
+			if n > 1 {
+				echo(n, c, r)
+			}
+		})
+		_, err := do(p, "a")
+		So(errors.Is(err, ErrNoAnswer), ShouldBeTrue)
+		So(p.Ended(context.Background()), ShouldBeFalse)
+		_, err = do(p, "b")
+		So(err, ShouldBeNil)
+		So(conns.Load(), ShouldEqual, 2)
+	})
+	Convey("One at whose address nothing listens has", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		p := NewPool(Config{Addr: l.Addr().String(), Headers: names})
+		So(l.Close(), ShouldBeNil)
+		So(p.Ended(context.Background()), ShouldBeTrue)
+	})
+}
