--- /dev/null
+++ b/sidecar/quarantine_test.go
@@ -0,0 +1,175 @@
+package sidecar
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oatpin/oatpin/directory"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	fatalPath = "/read/fatal"
+	// crashAfter is how long an instance works on what ends it.
+	crashAfter = 20 * time.Millisecond
+	// restartAfter is how long an instance is gone.
+	restartAfter = 300 * time.Millisecond
+	// knownAfter is the time after the third end in which all nodes are to
+	// know of it, and furtherRuns how many instances may run the request then.
+	knownAfter  = 3 * time.Second
+	furtherRuns = 3
+)
+
+// frailMesh is a mesh whose targets of one service end when they run a request
+// with a fatal path, and are back under another id.
+type frailMesh struct {
+	*mesh
+	frail []*vm
+
+	mu       sync.Mutex
+	ends     []time.Time // of instances
+	revision directory.Revision
+	idle     sync.WaitGroup
+}
+
+// newFrailMesh starts one node beside a target that lives, and n beside others
+// that do not.
+func newFrailMesh(t *testing.T, n int) *frailMesh {
+	services := []string{"versand"}
+	for range n {
+		services = append(services, "archiv")
+	}
+	f := &frailMesh{mesh: newMesh(t, services...), revision: 100}
+	f.frail = f.vms[1:]
+	for _, v := range f.frail {
+		f.breakable(v)
+	}
+	t.Cleanup(f.idle.Wait)
+	return f
+}
+
+// breakable lets v's target end when it begins to run a fatal request. Other
+// requests take some time, and are cut when the target ends.
+func (f *frailMesh) breakable(v *vm) {
+	target := v.target
+	target.on(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, fatalPath) {
+			time.Sleep(crashAfter)
+			f.end(v, target)
+			return
+		}
+		time.Sleep(2 * crashAfter)
+		signed(w, r, http.StatusOK, "answer")
+	})
+}
+
+// end ends v's target once, and starts another at its address.
+func (f *frailMesh) end(v *vm, target *fakeTarget) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v.target != target {
+		return
+	}
+	v.crash()
+	f.ends = append(f.ends, time.Now())
+	next := &fakeTarget{id: fmt.Sprintf("i-%s-%d", v.ip, len(f.ends)), ran: map[string]int{}}
+	v.target = next
+	f.idle.Go(func() {
+		time.Sleep(restartAfter)
+		f.startNext(v)
+	})
+}
+
+func (f *frailMesh) startNext(v *vm) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l, err := net.Listen("tcp", v.self.Addr)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	f.breakable(v)
+	v.serve(l)
+	old := v.self.ID
+	f.revision++
+	v.self.ID, v.self.Revision, v.self.Since = directory.InstanceID(v.target.id), f.revision, f.revision
+	in := v.self
+	for _, o := range f.vms {
+		o.dir.Apply([]directory.Change{{Gone: old, GoneAt: f.revision}, {Instance: &in}}, f.revision)
+	}
+}
+
+func (f *frailMesh) ended() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.ends)
+}
+
+// comeAgain sends the fatal request once at a node, whatever becomes of it.
+func (f *frailMesh) comeAgain(path string, i int) reply {
+	_, got := f.get(f.vms[i%len(f.vms)], path)
+	return got
+}
+
+// awaitAll waits until every instance is back.
+func (f *frailMesh) awaitAll() { f.idle.Wait(); time.Sleep(50 * time.Millisecond) }
+
+// Users see one instance of a service after the other end, each seconds after
+// its start. A caller sends one request again and again, to any node; each
+// instance that begins to run it ends. To a node each coming was a new
+// request, as it knew requests by their ids alone.
+func TestARequestThatEndsInstancesIsStopped(t *testing.T) {
+	f := newFrailMesh(t, 5)
+	Convey("After the third end few instances run it, whatever node it comes to; and the next such request", t, func() {
+		for _, path := range []string{fatalPath + "-1", fatalPath + "-2"} {
+			before := f.ended()
+			for i := 0; f.ended() < before+3 && i < 20; i++ {
+				f.comeAgain(path, i)
+				time.Sleep(100 * time.Millisecond)
+			}
+			So(f.ended(), ShouldBeGreaterThanOrEqualTo, before+3)
+			time.Sleep(knownAfter)
+			known := f.ended()
+			for i := range 12 {
+				got := f.comeAgain(path, i)
+				So(got.err, ShouldBeNil)
+				So(got.code, ShouldNotEqual, http.StatusOK)
+			}
+			So(f.ended()-known, ShouldBeLessThanOrEqualTo, furtherRuns)
+		}
+	})
+}
+
+// Requests are in progress at each instance that another request ends. They
+// have done nothing: sent again, they are served, also those that were there
+// every time.
+func TestRequestsBesideOneThatEndsInstancesAreServed(t *testing.T) {
+	f := newFrailMesh(t, 5)
+	Convey("What was beside is served when it comes again", t, func() {
+		var beside []string
+		for i := 0; f.ended() < 3 && i < 20; i++ {
+			var wg sync.WaitGroup
+			for j, v := range f.vms {
+				path := fmt.Sprintf("/read/beside-%d-%d", i, j)
+				beside = append(beside, path)
+				wg.Go(func() { f.get(v, path) })
+				wg.Go(func() { f.get(v, "/read/beside-all") })
+			}
+			time.Sleep(crashAfter / 2)
+			f.comeAgain(fatalPath, i)
+			wg.Wait()
+			time.Sleep(100 * time.Millisecond)
+		}
+		So(f.ended(), ShouldBeGreaterThanOrEqualTo, 3)
+		f.awaitAll()
+		for _, path := range append(beside, "/read/beside-all") {
+			_, got := f.get(f.vms[0], path)
+			So(path+" "+http.StatusText(got.code), ShouldEqual, path+" OK")
+		}
+	})
+}
