Keep requests that end instances from the rest of them

Callers saw the read service go: a request under which three instances had ended was handed to instances 12 and 8 times more, 20 and 15 ended.

Cause: a node knew a request by its id, which each try of a caller has anew, and forgot it with its answer. Each coming of the same request, at whatever node, was a new one; nothing on any node could tell it from the rest. The class: no memory of what a request did to those who ran it, across nodes.

Ruled out: oatpin's own repeats as the carrier (407 of 484 broken tries were first ones, the one reported among them), so a bound on repeats alone would not have helped; instances that end of load (the first four ended at usual load).

Now a node beside an instance that ends notes what ran there, by a hash of what is asked for, and tells the readers of each data centre, whom all others ask. After the second end a request runs at one instance only, chosen by rendezvous hash, beside no other such; a third end then is proof, and it runs no more for ten minutes, 503 with Retry-After. A whole answer clears it. Why that holds: the third end decides, whoever sees it, and the node at that one instance knows at once what other nodes hear some milliseconds later.

What was beside it is served: many ends at once are no proof, and neither is one that another request explains.

--- a/call/call.go
+++ b/call/call.go
@@ -72,6 +72,16 @@
 	HTTP        *HTTPAnswer   `msgpack:"http,omitempty"`    // what the target answered to a request with HTTP
 	Reached     bool          `msgpack:"reached,omitempty"` // the request was handed to a target
 	Load        *Load         `msgpack:"load,omitempty"`
+	Ended       *End          `msgpack:"ended,omitempty"` // the instance ended while it ran the request
+	Held        bool          `msgpack:"held,omitempty"`  // not run, and not to be sent to another instance either
+	News        []byte        `msgpack:"news,omitempty"`  // what a node tells besides in its answer to another's question
+}
+
+// End is the end of an instance that ran a request.
+type End struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       uint64   // drawn by the node beside the instance; the same for all requests in progress there
+	Alone    bool     // the request was the only one there that instances had ended under before
 }
 
 // Refuse returns a NotRun answer for r that tells the caller when to come back.
--- a/membership/member.go
+++ b/membership/member.go
@@ -149,6 +149,17 @@
 	return m.roster().readers(m.cfg.DC, func(a Addr) bool { return a != m.cfg.Self && m.pauses.paused(a, now) })
 }
 
+// AllReaders are the nodes that are to read for each data centre, this one
+// left out; some may be down.
+func (m *Member) AllReaders() []Addr {
+	r := m.roster()
+	var all []Addr
+	for dc := range r.nodes {
+		all = append(all, r.readers(dc, func(a Addr) bool { return a == m.cfg.Self })...)
+	}
+	return all
+}
+
 // setReader makes this node a reader of the source, or ends that.
 func (m *Member) setReader(ctx context.Context, reads bool) {
 	m.mu.Lock()
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -1,4 +1,6 @@
-// Package quarantine knows the requests under which instances ended. Callers
-// send such a request again, at any node and with a new id, and each instance
-// that begins to run it ends too; it is told by what it asks for.
+// Package quarantine keeps requests that end instances from the rest of them.
+// Callers send such a request again, at any node and with a new id, and each
+// instance that begins to run it ends. A Book counts, by what a request asks
+// for, the instances that ended under it; nodes tell each other what theirs
+// say.
 package quarantine
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -32,6 +32,7 @@
 	route    *directory.Route
 	deadline time.Time
 	entered  time.Time
+	kept     kept
 	// turnBy is until when a new request may wait for its turn, at all
 	// instances together; zero for a call of a request that runs already.
 	turnBy time.Time
@@ -114,6 +115,7 @@
 	}
 	q := &request{route: rt, entered: entered, deadline: entered.Add(left)}
 	q.Request = call.Request{ID: id, Service: rt.Service(n.draw()), Operation: rt.Name, Body: body, HTTP: n.forTarget(r, rt, from)}
+	q.kept = n.keptAs(&q.Request)
 	if !from.begun {
 		q.turnBy = entered.Add(n.patience(n.times(rt, left)))
 	}
--- a/sidecar/catchup.go
+++ b/sidecar/catchup.go
@@ -8,6 +8,7 @@
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
 	"github.com/oatpin/oatpin/membership"
+	"github.com/oatpin/oatpin/quarantine"
 	"github.com/oatpin/oatpin/wire"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
@@ -38,6 +39,9 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	After    directory.Revision
 	Wait     time.Duration // for something newer
+	// Told is how much of the other's book of quarantined requests was told
+	// before; nil from a node that keeps none.
+	Told *quarantine.Cursor
 }
 
 // heardRevision is told the revision that a peer's answer carries. A source
@@ -72,7 +76,7 @@
 // Since implements membership.Peers.
 func (n *Node) Since(ctx context.Context, at membership.Addr, after directory.Revision, wait time.Duration) (directory.Delta, error) {
 	var none directory.Delta
-	body, err := msgpack.Marshal(question{After: after, Wait: wait})
+	body, err := msgpack.Marshal(question{After: after, Wait: wait, Told: n.heard.from(at)})
 	if err != nil {
 		return none, eris.Wrap(err, "encode question")
 	}
@@ -89,6 +93,7 @@
 	if a.Status != call.OK {
 		return none, eris.Wrap(errNothingKnown, a.Reason)
 	}
+	n.hear(at, a.News)
 	x, err := directory.Decode(a.Body)
 	if err != nil {
 		n.stats.misread()
@@ -114,6 +119,9 @@
 	defer cancel()
 	defer context.AfterFunc(n.staying, cancel)()
 	n.member.Wanted()
+	if q.Told != nil {
+		go cancelOn(ctx, n.book.News(*q.Told), cancel)
+	}
 	x := n.dir.Await(ctx, q.After, min(q.Wait, mostWait))
 	if _, leaving := n.leavingSince(); leaving || !n.dir.Listed() {
 		return call.Refuse(r, errNothingKnown.Error(), 0)
@@ -123,7 +131,7 @@
 		n.log.WithError(err).Error("delta_not_encoded")
 		return call.Refuse(r, err.Error(), 0)
 	}
-	return call.Answer{ID: r.ID, Status: call.OK, Body: b}
+	return call.Answer{ID: r.ID, Status: call.OK, Body: b, News: n.newsFor(q.Told)}
 }
 
 // notUnderstood answers a node's question that cannot be decoded; nothing is
--- a/sidecar/ends.go
+++ b/sidecar/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,40 +22,42 @@
 	mu     sync.Mutex
 	looked time.Time
 	ended  time.Time // when it was last found gone
+	id     uint64    // of that end
 }
 
-// since reports whether the target ended after a request began, which failed
-// just now; first is true for the request that finds out.
-func (e *ends) since(began, failed time.Time, gone func() bool) (ended, first bool) {
+// since returns the id of the target's end after a request began, which failed
+// just now, or 0 if it did not end; first is true for the request that finds
+// out.
+func (e *ends) since(began, failed time.Time, gone func() bool) (id uint64, first bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.ended.After(began) {
-		return true, false
+		return e.id, false
 	}
 	if e.looked.After(failed) {
-		return false, false // another request looked, and it is there
+		return 0, false // another request looked, and it is there
 	}
 	e.looked = time.Now()
 	if !gone() {
-		return false, false
+		return 0, false
 	}
-	e.ended = time.Now()
-	return true, true
+	e.ended, e.id = time.Now(), max(rand.Uint64(), 1)
+	return e.id, true
 }
 
-// endedUnder reports whether the target ended while it ran a request whose
-// connection just broke. Any other broken connection says nothing of that.
-func (n *Node) endedUnder(ctx context.Context, r *call.Request, began time.Time) bool {
+// endedUnder returns the end of the target while it ran a request whose
+// connection just broke; nil if the connection alone did.
+func (n *Node) endedUnder(ctx context.Context, r *call.Request, began time.Time) *call.End {
 	if ctx.Err() != nil {
-		return false
+		return nil
 	}
-	ended, first := n.ends.since(began, time.Now(), func() bool {
+	id, first := n.ends.since(began, time.Now(), func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), endWait)
 		defer cancel()
 		return n.target.Ended(ctx)
 	})
-	if !ended {
-		return false
+	if id == 0 {
+		return nil
 	}
 	if first {
 		n.stats.targetEnded()
@@ -68,5 +71,5 @@
 		return log.Fields{"id": r.ID, "fingerprint": quarantine.FingerprintOf(r).String(), "caller": r.HTTP.Caller, "instance": r.To,
 			"headers": names, "age_ms": time.Since(began).Milliseconds()}
 	})
-	return true
+	return &call.End{ID: id}
 }
--- a/sidecar/ends_test.go
+++ b/sidecar/ends_test.go
@@ -24,14 +24,14 @@
 		failed := time.Now()
 		for range 20 {
 			wg.Go(func() {
-				ended, first := e.since(began, failed, gone)
+				id, first := e.since(began, failed, gone)
 				mu.Lock()
 				defer mu.Unlock()
 				if first {
 					firsts++
 				}
-				if !ended {
-					t.Error("not seen")
+				if id == 0 || id != e.id {
+					t.Error("not seen, or as another end")
 				}
 			})
 		}
@@ -40,8 +40,8 @@
 		So(firsts, ShouldEqual, 1)
 		Convey("What began after it did not run under it", func() {
 			later := time.Now()
-			ended, _ := e.since(later, time.Now(), func() bool { return false })
-			So(ended, ShouldBeFalse)
+			id, _ := e.since(later, time.Now(), func() bool { return false })
+			So(id, ShouldEqual, 0)
 		})
 	})
 	Convey("Of two nodes' targets, one ends and one breaks off", t, func() {
--- a/sidecar/fake_test.go
+++ b/sidecar/fake_test.go
@@ -34,8 +34,13 @@
 		ids   atomic.Int64
 		until []func()
 		seeds []string // for nodes started from now on
+		// source is for the same; without one, nodes ask nobody either.
+		source directory.Source
 	}
 
+	// quietSource has nothing to tell.
+	quietSource struct{}
+
 	// vm is one node and its fake target.
 	vm struct {
 		node   *Node
@@ -59,6 +64,19 @@
 	}
 )
 
+func (quietSource) Load(context.Context) (directory.Snapshot, error) {
+	return directory.Snapshot{}, errNoSource
+}
+
+func (quietSource) Watch(ctx context.Context, after directory.Revision, wait time.Duration) ([]directory.Change, directory.Revision, error) {
+	directory.Pause(ctx, wait)
+	return nil, after, ctx.Err()
+}
+
+func (quietSource) Listed(context.Context, directory.InstanceID) (bool, error) {
+	return false, errNoSource
+}
+
 // signed answers a request as a target that ran it.
 func signed(w http.ResponseWriter, r *http.Request, code int, body string) {
 	w.Header().Set("Signature", "s")
@@ -146,12 +164,16 @@
 // newMesh starts a node and target for each service named, all of which know
 // the test routes and each other.
 func newMesh(t *testing.T, services ...string) *mesh {
-	m := &mesh{t: t, port: freePort(t)}
+	return (&mesh{t: t, port: freePort(t)}).populate(services)
+}
+
+// populate starts a node and target for each service named.
+func (m *mesh) populate(services []string) *mesh {
 	for i, service := range services {
 		m.vms = append(m.vms, m.start(fmt.Sprintf("127.0.0.%d", i+2), service))
 	}
 	m.tellAll(1)
-	t.Cleanup(m.stop)
+	m.t.Cleanup(m.stop)
 	return m
 }
 
@@ -181,7 +203,7 @@
 	v.dir = directory.New(directory.Usual(lg))
 	n, err := New(Config{Seeds: m.seeds, Control: freeAddr(m.t, v.ip), Name: "node-" + v.ip, DC: "nord", Service: v.self.Service, Target: v.self.Addr, Callers: freeAddr(m.t, v.ip),
 		Peer: net.JoinHostPort(v.ip, strconv.Itoa(m.port)), Ready: freeAddr(m.t, v.ip), Metrics: freeAddr(m.t, v.ip), Headers: testHeaders,
-		Tuning: Tuning{BodyBytes: 1 << 20, Repeats: budget.WindowConfig{Span: 10 * time.Second, Ratio: 0.1, Slack: 100}}, Policies: Usual(), Grace: 3 * time.Second, Directory: v.dir, Log: lg})
+		Tuning: Tuning{BodyBytes: 1 << 20, Repeats: budget.WindowConfig{Span: 10 * time.Second, Ratio: 0.1, Slack: 100}}, Policies: Usual(), Grace: 3 * time.Second, Directory: v.dir, Source: m.source, Log: lg})
 	if err != nil {
 		m.t.Fatal(err)
 	}
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -44,6 +44,10 @@
 // forward sends a request to instances of its service until one gives a
 // final answer. ctx ends at the request's deadline or when its caller leaves.
 func (n *Node) forward(ctx context.Context, q *request) call.Answer {
+	if q.kept.stage == quarantine.Quarantined {
+		n.stats.refused(causeQuarantine)
+		return n.hold(q.Request, q.kept)
+	}
 	if q.HTTP.Repeat {
 		n.window(q.Service).Inherit()
 	} else {
@@ -66,7 +70,7 @@
 		// A later try was refused, but an earlier one may have run.
 		last = call.Answer{ID: q.ID, Status: call.Unknown, Reason: "an earlier try may have run; the last was refused: " + last.Reason}
 	}
-	if t.unreachable == len(t.asked) {
+	if t.unreachable == len(t.asked) && n.stage(q.kept) == quarantine.Free {
 		// Nobody can serve this route from here. Requests that would call on
 		// it are refused where they enter, before their work is begun.
 		n.board.Unreachable(q.route.Name, q.Service)
@@ -87,6 +91,9 @@
 	if n.board.Threshold(q.route.Name) == admit.Top {
 		a.Once, a.Time = !q.route.Idempotent, time.Until(q.deadline)
 	}
+	if n.stage(q.kept) == quarantine.Isolated {
+		a.Instances, a.Near = q.kept.home(a.Instances, tried), nil
+	}
 	return a
 }
 
@@ -115,13 +122,14 @@
 		o.Failed = false
 	}
 	n.balancer.Done(in.Start(), o)
+	n.noteTry(q.kept, &a)
 	n.stats.tried(q.Service, a.Status, time.Since(sent))
 	if a.Load != nil {
 		n.board.Told(q.route.Name, a.Load.Admit, a.Load.Binds)
 	}
 	if a.Status != call.OK {
 		n.note.Note("try_ended", func() log.Fields {
-			f := log.Fields{"id": q.ID, "fingerprint": quarantine.FingerprintOf(&q.Request).String(), "route": q.route.Name, "service": q.Service, "instance": in.ID, "dc": in.DC, "revision": in.Revision,
+			f := log.Fields{"id": q.ID, "fingerprint": q.kept.as.String(), "route": q.route.Name, "service": q.Service, "instance": in.ID, "dc": in.DC, "revision": in.Revision,
 				"status": a.Status, "why": a.Reason, "reached": a.Reached, "took_ms": time.Since(sent).Milliseconds(), "try": len(t.asked)}
 			if a.HTTP != nil {
 				f["code"] = a.HTTP.Code
@@ -183,7 +191,7 @@
 // an answer, and counts it against the bound on repeats if an instance was
 // handed the request before.
 func (n *Node) again(ctx context.Context, q *request, a call.Answer, t *tries) bool {
-	if ctx.Err() != nil || time.Until(q.deadline) < leastTime {
+	if ctx.Err() != nil || time.Until(q.deadline) < leastTime || a.Held || n.stage(q.kept) == quarantine.Quarantined {
 		return false
 	}
 	switch a.Status {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -16,6 +16,7 @@
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/directory"
 	"github.com/oatpin/oatpin/membership"
+	"github.com/oatpin/oatpin/quarantine"
 	"github.com/oatpin/oatpin/slots"
 	"github.com/oatpin/oatpin/targetconn"
 	"github.com/oatpin/oatpin/timeline"
@@ -98,6 +99,10 @@
 		witness   *vouch.Witness // of the local instance
 		asking    asking         // the nodes of unlisted instances
 		ends      ends           // of the local target
+		book      *quarantine.Book
+		lane      *quarantine.Lane // to the local target
+		telling   telling          // other nodes, what the book has of the local target's ends
+		heard     heard            // what other nodes' books have told
 		member    *membership.Member
 		target    *targetconn.Pool
 		peers     *wire.Pool
@@ -151,10 +156,13 @@
 		stats:    newStats(cfg.Name),
 		windows:  map[string]*budget.Window{},
 		asking:   asking{starts: map[directory.Start]bool{}},
+		lane:     quarantine.NewLane(),
+		heard:    heard{upTo: map[membership.Addr]quarantine.Cursor{}},
 		stop:     make(chan struct{}),
 	}
 	n.staying, n.leave = context.WithCancel(context.Background())
 	n.member = membership.New(n.membership())
+	n.book = quarantine.NewBook(quarantine.Config{Off: !cfg.Policies.Quarantine, Log: cfg.Log})
 	n.witness = vouch.NewWitness(vouch.Config{Listed: n.listed, Probe: n.probe, SourceLost: n.dir.SourceLost})
 	byLoad := cfg.Policies.admission(n.board)
 	n.prospects = admit.NewProspects(byLoad)
--- a/sidecar/policies.go
+++ b/sidecar/policies.go
@@ -29,6 +29,7 @@
 	Explore     bool `ini:"explore"`      // and now and then to any
 	Sample      bool `ini:"sample"`       // a few instances are weighed for a request, not all
 	Vouch       bool `ini:"vouch"`        // nodes vouch for instances whose entries went
+	Quarantine  bool `ini:"quarantine"`   // requests that end instances are kept from them
 	Doubt       bool `ini:"doubt"`        // entries missing after an outage are kept for a while
 	Suspicion   bool `ini:"suspicion"`    // peers that answer no ping are passed over
 	Spread      bool `ini:"spread"`       // watches after a change are spread
@@ -40,7 +41,7 @@
 // Usual has every policy on.
 func Usual() Policies {
 	return Policies{Thresholds: true, Prospects: true, Costs: true, Parts: true, Pace: true, Patience: true, ComeBack: true,
-		Repeats: true, Told: true, Speed: true, Tight: true, Explore: true, Sample: true, Vouch: true, Doubt: true, Suspicion: true,
+		Repeats: true, Told: true, Speed: true, Tight: true, Explore: true, Sample: true, Vouch: true, Quarantine: true, Doubt: true, Suspicion: true,
 		Spread: true, Readers: true, ServePeers: true, DecisionLog: true}
 }
 
--- a/sidecar/quarantine_test.go
+++ b/sidecar/quarantine_test.go
@@ -1,15 +1,19 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/quarantine"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -44,7 +48,8 @@
 	for range n {
 		services = append(services, "archiv")
 	}
-	f := &frailMesh{mesh: newMesh(t, services...), revision: 100}
+	m := &mesh{t: t, port: freePort(t), source: quietSource{}}
+	f := &frailMesh{mesh: m.populate(services), revision: 100}
 	f.frail = f.vms[1:]
 	for _, v := range f.frail {
 		f.breakable(v)
@@ -120,9 +125,10 @@
 func (f *frailMesh) awaitAll() { f.idle.Wait(); time.Sleep(50 * time.Millisecond) }
 
 // Users see one instance of a service after the other end, each seconds after
-// its start. A caller sends one request again and again, to any node; each
-// instance that begins to run it ends. To a node each coming was a new
-// request, as it knew requests by their ids alone.
+// its start. A caller sends one request again and again, to any node, and each
+// instance that begins to run it ends. Nodes knew requests by their ids, which
+// are new each time, and forgot them with their answers; ended instances and
+// what they ran had to be put together from the logs of all nodes.
 func TestARequestThatEndsInstancesIsStopped(t *testing.T) {
 	f := newFrailMesh(t, 5)
 	Convey("After the third end few instances run it, whatever node it comes to; and the next such request", t, func() {
@@ -173,3 +179,65 @@
 		}
 	})
 }
+
+// An instance ends under a request. Every node is to know, also one that
+// starts later and one that only asks.
+func TestNodesTellEachOtherUnderWhatInstancesEnded(t *testing.T) {
+	f := newFrailMesh(t, 5)
+	knows := func(v *vm) bool {
+		k := keptAt(v.node, fatalPath)
+		return v.node.stage(k) >= quarantine.Suspect
+	}
+	Convey("All know within a second, and a node that starts anew", t, func() {
+		f.comeAgain(fatalPath, 0)
+		So(f.ended(), ShouldBeGreaterThan, 0)
+		until := time.Now().Add(time.Second)
+		for _, v := range f.vms {
+			for !knows(v) && time.Now().Before(until) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			So(v.ip+" "+strconv.FormatBool(knows(v)), ShouldEqual, v.ip+" true")
+		}
+		f.seeds = []string{f.vms[1].node.cfg.Control}
+		v := f.mesh.start("127.0.0.40", "archiv")
+		f.vms = append(f.vms, v)
+		until = time.Now().Add(2 * time.Second)
+		for !knows(v) && time.Now().Before(until) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		So(knows(v), ShouldBeTrue)
+	})
+}
+
+// keptAt is what a node keeps a read of a path apart by.
+func keptAt(n *Node, path string) kept {
+	return n.keptAs(&call.Request{HTTP: &call.HTTPRequest{Method: http.MethodGet, Host: "h", URI: path, Caller: n.cfg.Service}})
+}
+
+// A quarantined request comes again. It has run nowhere, its caller is told so
+// at once and when to come back, and what differs in anything is served.
+func TestAQuarantinedRequestIsRefusedAtOnce(t *testing.T) {
+	m := newMesh(t, "versand", "archiv", "archiv")
+	Convey("503 with the rest of the term, at every node; others are served", t, func() {
+		k := keptAt(m.vms[0].node, "/read/fatal")
+		for i, c := range []quarantine.Caller{"versand", "versand", "archiv"} {
+			m.vms[1].node.book.Ended(k.as, quarantine.End{ID: quarantine.EndID(i + 1), Caller: c, Alone: i == 2})
+		}
+		m.vms[1].node.tell(k.as)
+		time.Sleep(300 * time.Millisecond)
+		for _, v := range m.vms {
+			began := time.Now()
+			id, got := m.get(v, "/read/fatal")
+			So(got.code, ShouldEqual, http.StatusServiceUnavailable)
+			So(time.Since(began), ShouldBeLessThan, 100*time.Millisecond)
+			after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			So(err, ShouldBeNil)
+			So(after, ShouldBeBetween, quarantine.Term.Seconds()-2, quarantine.Term.Seconds()+0.1)
+			So(m.vms[1].target.runs(id)+m.vms[2].target.runs(id), ShouldEqual, 0)
+		}
+		for _, c := range []struct{ method, path, body string }{{http.MethodGet, "/read/other", ""}, {http.MethodGet, "/read/fatal?x", ""}, {http.MethodPost, "/read/fatal", "n"}} {
+			_, got := m.send(context.Background(), m.vms[0], c.method, c.path, c.body, nil)
+			So(got.code, ShouldEqual, http.StatusOK)
+		}
+	})
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -48,6 +48,8 @@
 		return n.serveSince(ctx, r)
 	case vouchOperation:
 		return n.serveVouch(ctx, r)
+	case endsOperation:
+		return n.serveEnds(r)
 	}
 	return call.Refuse(r, "not a request by route", 0)
 }
@@ -60,7 +62,7 @@
 	return n.serve(ctx, r)
 }
 
-// serve lets a request through to the local target when its turn comes.
+// serve lets a request through to the local target, if it may run here.
 func (n *Node) serve(ctx context.Context, r call.Request) call.Answer {
 	if self := n.self.Load(); self != nil && string(self.ID) != r.To {
 		// The sender's list is older than the reuse of this address.
@@ -68,6 +70,17 @@
 		a.Leaving = true
 		return a
 	}
+	k := n.keptAs(&r)
+	leave, ok := n.enterLane(ctx, &r, k)
+	if !ok {
+		return n.withLoad(r, n.hold(r, k))
+	}
+	defer leave()
+	return n.serveInTurn(ctx, r, k)
+}
+
+// serveInTurn lets a request through to the local target when its turn comes.
+func (n *Node) serveInTurn(ctx context.Context, r call.Request, k kept) call.Answer {
 	deadline, _ := ctx.Deadline()
 	if !n.inTime(r, deadline) {
 		return n.withLoad(r, call.Refuse(r, "target: too slow for the time left", 0))
@@ -81,6 +94,10 @@
 		a.Leaving = errors.Is(err, slots.ErrLeaving)
 		return n.withLoad(r, a)
 	}
+	if !n.mayRun(k) {
+		n.gate.Leave(0)
+		return n.withLoad(r, n.hold(r, k))
+	}
 	if !r.HTTP.Idempotent {
 		// Its caller may leave or the sender's connection break: once begun,
 		// an action goes on to its end, or nobody could say whether it ran.
@@ -93,6 +110,7 @@
 	began := time.Now()
 	a := n.callTarget(ctx, r, deadline)
 	took := time.Since(began)
+	n.noteRun(k, &a)
 	was := n.running.remove(r.ID)
 	work.End(a.Status == call.OK)
 	n.health.Note(n.targetFailed(ctx, r, a, was, took))
@@ -179,8 +197,7 @@
 		}
 		return call.Refuse(r, err.Error(), 0)
 	case err != nil:
-		n.endedUnder(ctx, &r, began)
-		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), Reached: true}
+		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), Reached: true, Ended: n.endedUnder(ctx, &r, began)}
 	}
 	return n.judge(r, got)
 }
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -10,6 +10,7 @@
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
 	"github.com/oatpin/oatpin/membership"
+	"github.com/oatpin/oatpin/quarantine"
 )
 
 // Causes of a refusal, as counted.
@@ -20,6 +21,8 @@
 	causeLeaving  cause = "leaving"    // the node is stopping
 	causeRequest  cause = "bad_header" // a header is missing or malformed
 	causeBody     cause = "body"       // too large, too slow, cut, or no memory for it
+	// causeQuarantine is that instances ended under the request.
+	causeQuarantine cause = "quarantine"
 )
 
 type (
@@ -154,6 +157,9 @@
 	gauge("oatpin_directory_revision", func() float64 { return float64(n.revision()) })
 	gauge("oatpin_instances_unlisted", func() float64 { return float64(n.dir.View().Unlisted()) })
 	gauge("oatpin_entries_refused", func() float64 { return float64(n.dir.Refused()) })
+	for _, st := range []quarantine.Stage{quarantine.Isolated, quarantine.Quarantined} {
+		s.set.NewGauge(fmt.Sprintf(`oatpin_requests_kept_apart{node=%q,stage=%q}`, s.node, st), func() float64 { return float64(n.book.Count(st)) })
+	}
 	gauge("oatpin_source_away", func() float64 { return truth(n.dir.SourceAway()) })
 	gauge("oatpin_source_reader", func() float64 { return truth(n.member.Reads()) })
 	gauge("oatpin_directory_age_seconds", func() float64 { return n.dir.Age().Seconds() })
