See the end of an instance that still takes connections while it ends; come back after half a second at least

A process that exits may break its connections before it closes its listener: a look in between found it alive, and what ran there was not noted. Such a connection is broken a moment later, so the look waits five milliseconds and looks again where it is (the test, which listens for one connection more, fails without).

A quarantine whose term ends this moment told callers to come back at once. A node with nothing new no longer walks its whole book for each question, and balance uses the library's search.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -280,12 +280,3 @@
 	}
 	return false
 }
-
-func contains(ids []directory.InstanceID, id directory.InstanceID) bool {
-	for _, o := range ids {
-		if o == id {
-			return true
-		}
-	}
-	return false
-}
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/oatpin/oatpin/directory"
@@ -54,7 +55,7 @@
 }
 
 func (c *choice) weigh(in *directory.Instance) {
-	if in.Leaving || (c.certain && in.Doubtful) || contains(c.ask.Tried, in.ID) {
+	if in.Leaving || (c.certain && in.Doubtful) || slices.Contains(c.ask.Tried, in.ID) {
 		return
 	}
 	b := c.b
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -149,6 +149,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	after := b.known(at)
+	if after == b.seq {
+		return Report{Next: Cursor{Epoch: b.epoch, Seq: b.seq}}
+	}
 	return b.report(func(e *entry) bool { return e.seq > after })
 }
 
--- a/sidecar/quarantine.go
+++ b/sidecar/quarantine.go
@@ -84,7 +84,8 @@
 	now := n.stage(k)
 	a.Held = now >= quarantine.Isolated
 	if now == quarantine.Quarantined {
-		a.Reason, a.RetryAfter = "quarantined: instances ended under this request", n.book.Left(k.as, k.from)
+		a.Reason = "quarantined: instances ended under this request"
+		a.RetryAfter = max(a.RetryAfter, n.book.Left(k.as, k.from))
 	}
 	return a
 }
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -29,6 +29,9 @@
 	// idleMargin is taken off the idle timeout that a target states, so that
 	// a request does not meet the target's own close on the way.
 	idleMargin = 500 * time.Millisecond
+	// endingTime is how long a process that ends may still take connections
+	// after it has broken others; it breaks those too.
+	endingTime = 5 * time.Millisecond
 	// maxStray is how many answers to other requests are passed over on one
 	// connection before it is given up.
 	maxStray = 3
@@ -135,14 +138,20 @@
 // Ended reports whether nothing listens at the target's address: its process
 // is gone. A connection that this opens is kept for the next request.
 func (p *Pool) Ended(ctx context.Context) bool {
-	nc, err := p.cfg.Dial(ctx, p.cfg.Addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	for {
+		nc, err := p.cfg.Dial(ctx, p.cfg.Addr)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		c := newConn(nc)
+		time.Sleep(endingTime)
+		if c.quiet() {
+			c.until = time.Now().Add(idleDefault)
+			p.put(c)
+			return false
+		}
+		c.nc.Close()
 	}
-	c := newConn(nc)
-	c.until = time.Now().Add(idleDefault)
-	p.put(c)
-	return false
 }
 
 // Close closes the idle connections.
--- a/targetconn/pool_test.go
+++ b/targetconn/pool_test.go
@@ -368,6 +368,19 @@
 		So(err, ShouldBeNil)
 		So(conns.Load(), ShouldEqual, 2)
 	})
+	Convey("One that takes a connection while it ends, and breaks it, has", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			l.Close()
+			c.Close()
+		}()
+		So(NewPool(Config{Addr: l.Addr().String(), Headers: names}).Ended(context.Background()), ShouldBeTrue)
+	})
 	Convey("One at whose address nothing listens has", t, func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
