Find oneself among the readers by the address that others know

Cause: a node looked for itself by the address at which it listens, while all others work it out from its instance's. Where the two differ (any address, or another interface) no node takes itself for a reader, and nobody reads the store after the start.

Deployments where both are one address are not touched: the value is the same.

--- a/membership/member.go
+++ b/membership/member.go
@@ -94,6 +94,9 @@
 	return m
 }
 
+// Self returns the address by which this node looks for itself among others.
+func (m *Member) Self() Addr { return m.cfg.Self }
+
 // Run keeps the Directory up to date until ctx ends.
 func (m *Member) Run(ctx context.Context) {
 	go m.dir.SettleUntil(ctx)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -160,8 +160,12 @@
 		heard:    heard{upTo: map[membership.Addr]quarantine.Cursor{}},
 		stop:     make(chan struct{}),
 	}
+	self, err := n.peerOf(directory.Instance{Addr: cfg.Target})
+	if err != nil {
+		return nil, err
+	}
 	n.staying, n.leave = context.WithCancel(context.Background())
-	n.member = membership.New(n.membership())
+	n.member = membership.New(n.membership(self))
 	n.book = quarantine.NewBook(quarantine.Config{Off: !cfg.Policies.Quarantine, Log: cfg.Log})
 	n.witness = vouch.NewWitness(vouch.Config{Listed: n.listed, Probe: n.probe, SourceLost: n.dir.SourceLost})
 	byLoad := cfg.Policies.admission(n.board)
@@ -218,8 +222,11 @@
 }
 
 // membership is what this node's part in reading the source is built from.
-func (n *Node) membership() membership.Config {
-	cfg := membership.Config{Directory: n.dir, Source: n.cfg.Source, Self: membership.Addr(n.cfg.Peer), DC: n.cfg.DC, Log: n.log}
+// self is how others know this node, by the address of the instance beside it:
+// it may listen at another, or at any, and would then never find itself among
+// those that are to read.
+func (n *Node) membership(self wire.Peer) membership.Config {
+	cfg := membership.Config{Directory: n.dir, Source: n.cfg.Source, Self: membership.Addr(self.Addr), DC: n.cfg.DC, Log: n.log}
 	cfg.Beside = func(in directory.Instance) (membership.Addr, error) {
 		p, err := n.peerOf(in)
 		return membership.Addr(p.Addr), err
