Let a request that ends instances come again throughout the soak

It comes at any node during all faults, and twelve times when all is calm again. It is drawn from a stream of its own, so that seeds draw the faults that they did.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -106,6 +106,23 @@
 	client.CloseIdleConnections()
 }
 
+// sendFatal sends the request that ends the targets which run it; what its
+// caller gets is of no interest.
+func (c *callers) sendFatal(v *vm) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.d.callersAddr(v)+"/read/", strings.NewReader(fatalBody))
+	if err != nil {
+		c.d.t.Error(err)
+		return
+	}
+	req.Host = "h"
+	req.Header.Set(platform.Headers.RequestID, fmt.Sprintf("f%d", c.next.Add(1)))
+	req.Header.Set(platform.Headers.Deadline, "1500")
+	if resp, err := client.Do(req); err == nil {
+		resp.Body.Close()
+	}
+}
+
 // send sends one request. All are POST, reads too: net/http sends no POST
 // again by itself once it has written any of it.
 func (c *callers) send(client *http.Client, v *vm, read bool) (o outcome) {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -25,6 +25,8 @@
 	// endSlack is how much longer its end may take on a busy machine.
 	endSlack = 3 * time.Second
 	slots    = 20
+	// crashTime is how long a target that crashed is gone.
+	crashTime = 400 * time.Millisecond
 )
 
 type (
@@ -43,6 +45,8 @@
 		version callgraph.Version
 		late    []string // nodes that did not end within their grace
 		ids     int
+		fatal   int            // targets that a fatal request ended
+		crashed sync.WaitGroup // those that are not back yet
 	}
 
 	// vm is one node process, the target beside it, and the ways to them.
@@ -165,9 +169,34 @@
 	var err error
 	v.target, err = NewTarget(id, v.instance.Addr, platform.Headers)
 	d.must(err)
+	t := v.target
+	t.SetOnFatal(sync.OnceFunc(func() { d.crash(v, t) }))
 	d.must(d.store.PutInstance(v.instance))
 }
 
+// crash ends a target at once; another is in its place a while later.
+func (d *deployment) crash(v *vm, t *Target) {
+	d.mu.Lock()
+	d.fatal++
+	d.mu.Unlock()
+	t.Close()
+	d.crashed.Go(func() {
+		time.Sleep(crashTime)
+		v.fault.Lock()
+		defer v.fault.Unlock()
+		if v.target == t {
+			d.replaceTarget(v)
+		}
+	})
+}
+
+// ended returns how many targets a fatal request has ended.
+func (d *deployment) ended() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fatal
+}
+
 // changeRoutes publishes the next version of the routes.
 func (d *deployment) changeRoutes() {
 	d.mu.Lock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -20,8 +20,12 @@
 
 // inject draws faults for a time, on any node and several at once, and waits
 // until the last one is over.
-func (d *deployment) inject(r *rand.Rand, d0 time.Duration) {
+func (d *deployment) inject(seed uint64, d0 time.Duration) {
+	r := rand.New(rand.NewPCG(seed, 0))
 	var wg sync.WaitGroup
+	// A stream of its own, so that seeds draw the same faults with and without.
+	fatal := rand.New(rand.NewPCG(seed, 1))
+	wg.Go(func() { comeFatal(d, fatal, d0) })
 	for until := time.Now().Add(d0); time.Now().Before(until); time.Sleep(between(r, 50, 400)) {
 		f, v := faults[r.IntN(len(faults))], d.vms[r.IntN(len(d.vms))]
 		own := rand.New(rand.NewPCG(r.Uint64(), 0))
@@ -132,6 +136,13 @@
 	}
 }
 
+// comeFatal sends the same fatal request now and then, at nodes of any VMs.
+func comeFatal(d *deployment, r *rand.Rand, d0 time.Duration) {
+	for until := time.Now().Add(d0); time.Now().Before(until); time.Sleep(between(r, 0, 1000)) {
+		d.sendFatal(d.vms[r.IntN(len(d.vms))])
+	}
+}
+
 func cutPeers(_ *deployment, v *vm, r *rand.Rand) { cut(v.peers, r) }
 func cutStore(_ *deployment, v *vm, r *rand.Rand) { cut(v.toStore, r) }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -31,6 +30,11 @@
 	// calmServed is the part of the requests that is served by then. The rest
 	// is room for a busy machine.
 	calmServed = 0.9
+	// comings is how often a fatal request comes again in the end, and
+	// furtherEnds how many targets it may end then, if it has ended three
+	// before.
+	comings     = 12
+	furtherEnds = 3
 )
 
 // Editors and release managers use every node while processes are stopped,
@@ -39,7 +43,8 @@
 // change: any of these at any moment, together. A publication must not run
 // twice, nothing that was refused may have run, nobody gets another's answer
 // or a part of his own, a planned stop cuts nothing, and afterwards all is
-// served again.
+// served again. One request ends each instance that runs it, wherever it comes:
+// few more run it after the third.
 func TestTheDeploymentKeepsItsPromisesUnderFaults(t *testing.T) {
 	bin := build(t)
 	seeds := append([]uint64{}, failedSeeds...)
@@ -52,13 +57,27 @@
 			d := start(t, bin, seed)
 			defer d.stop()
 			d.awaitServing(10 * time.Second)
-			d.inject(rand.New(rand.NewPCG(seed, 0)), *secondsFlag)
+			d.inject(seed, *secondsFlag)
 			time.Sleep(healTime)
 			calm := d.served(calmTime)
+			further := d.comeAgain()
 			d.endCallers()
+			d.crashed.Wait()
 			So(d.violations(), ShouldBeEmpty)
 			So(calm, ShouldBeGreaterThan, calmServed)
-			t.Logf("seed %d: %s", seed, d.summary())
+			So(further, ShouldBeLessThanOrEqualTo, furtherEnds)
+			t.Logf("seed %d: %s; %d targets ended by the fatal request, %d of them in the end", seed, d.summary(), d.ended(), further)
 		})
 	}
 }
+
+// comeAgain sends the fatal request at one node after the other when all is
+// calm, and returns how many targets it ended beyond the third.
+func (d *deployment) comeAgain() int {
+	before := max(d.ended(), 3)
+	for i := range comings {
+		d.sendFatal(d.vms[i%len(d.vms)])
+		time.Sleep(crashTime)
+	}
+	return max(d.ended()-before, 0)
+}
--- a/soak/target.go
+++ b/soak/target.go
@@ -26,8 +26,12 @@
 	mu      sync.Mutex
 	ran     map[string]int // by request id
 	leaving bool
+	onFatal func()
 }
 
+// fatalBody ends the target that begins to run a request with it.
+const fatalBody = "fatal"
+
 // healthPath is where a Target says whether it is well.
 const healthPath = "/health"
 
@@ -66,6 +70,22 @@
 	t.srv.Close()
 }
 
+// SetOnFatal sets what ends the target when it runs a request with fatalBody.
+func (t *Target) SetOnFatal(f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onFatal = f
+}
+
+func (t *Target) endFatally() {
+	t.mu.Lock()
+	f := t.onFatal
+	t.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
 // Runs returns how often the target has run a request.
 func (t *Target) Runs(id string) int {
 	t.mu.Lock()
@@ -93,6 +113,10 @@
 	t.ran[id]++
 	t.mu.Unlock()
 	time.Sleep(workTime)
+	if string(body) == fatalBody {
+		t.endFatally()
+		return
+	}
 	w.Header().Set(t.headers.Signature, t.id)
 	io.WriteString(w, answerTo(id, string(body)))
 }
