--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -148,18 +148,30 @@
 func (b *Book) Since(at Cursor) Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	r := Report{Next: Cursor{Epoch: b.epoch, Seq: b.seq}}
 	after := b.known(at)
 	if after == b.seq {
-		return Report{Next: Cursor{Epoch: b.epoch, Seq: b.seq}}
+		return r
+	}
+	for _, e := range b.records {
+		if e.seq > after {
+			r.Records = append(r.Records, e.told())
+		}
 	}
-	return b.report(func(e *entry) bool { return e.seq > after })
+	return r
 }
 
 // Of returns what is known here of some requests.
 func (b *Book) Of(fs []Fingerprint) Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.report(func(e *entry) bool { return slices.Contains(fs, e.Of) })
+	r := Report{Next: Cursor{Epoch: b.epoch, Seq: b.seq}}
+	for _, f := range fs {
+		if e := b.records[f]; e != nil {
+			r.Records = append(r.Records, e.told())
+		}
+	}
+	return r
 }
 
 // News returns a channel that is closed once there is something beyond a
@@ -198,15 +210,10 @@
 	return at.Seq
 }
 
-func (b *Book) report(which func(*entry) bool) Report {
-	r := Report{Next: Cursor{Epoch: b.epoch, Seq: b.seq}}
-	for _, e := range b.records {
-		if which(e) {
-			told := e.Record
-			told.Ends, told.Sound, told.Age = slices.Clone(e.Ends), slices.Clone(e.Sound), time.Since(e.last)
-			r.Records = append(r.Records, told)
-		}
-	}
+// told is the entry as another node is told of it.
+func (e *entry) told() Record {
+	r := e.Record
+	r.Ends, r.Sound, r.Age = slices.Clone(e.Ends), slices.Clone(e.Sound), time.Since(e.last)
 	return r
 }
 
