--- a/sidecar/quarantine_test.go
+++ b/sidecar/quarantine_test.go
@@ -243,12 +243,15 @@
 	})
 }
 
-// During an upgrade nodes of the version before ask, which keep no book: they
-// are to be held as long as they ask for, and not told at once again and again.
-func TestANodeThatKeepsNoBookIsNotToldOfOne(t *testing.T) {
+// During an upgrade a node of the version before asks, whose question has a
+// field less. It is to be held as long as it asks for and told what it knows
+// of; it is not understood, as messages whose fields go by their place are only
+// read with the same number of them. So are requests and answers between nodes
+// of two versions.
+func TestNodesOfTwoVersionsUnderstandEachOther(t *testing.T) {
 	m := newMesh(t, "archiv")
 	n := m.vms[0].node
-	Convey("It waits for what it knows of, and gets that only", t, func() {
+	Convey("A question with a field less is answered", t, func() {
 		n.book.Ended(1, quarantine.End{ID: 1, Caller: "archiv"})
 		body, err := msgpack.Marshal([]any{n.dir.Revision(), 200 * time.Millisecond})
 		So(err, ShouldBeNil)
