--- a/call/call.go
+++ b/call/call.go
@@ -72,7 +72,7 @@
 	HTTP        *HTTPAnswer   `msgpack:"http,omitempty"`    // what the target answered to a request with HTTP
 	Reached     bool          `msgpack:"reached,omitempty"` // the request was handed to a target
 	Load        *Load         `msgpack:"load,omitempty"`
-	Ended       *End          `msgpack:"ended,omitempty"` // the instance ended while it ran the request
+	Ended       *End          `msgpack:"ended,omitempty"` // the instance ended while the request was in progress
 	Held        bool          `msgpack:"held,omitempty"`  // not run, and not to be sent to another instance either
 	News        []byte        `msgpack:"news,omitempty"`  // what a node tells besides in its answer to another's question
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -7,12 +7,12 @@
 
 const (
 	// isolateAfter is how many instances end under a request before it runs
-	// beside no other suspect. Everything in progress at an instance that ends
-	// is suspect; a second time, what was there by chance is a few in a
-	// hundred.
+	// isolated. All that is in progress at an instance that ends, a hundred
+	// requests, becomes suspect; few of those are at the next end too, and
+	// can run one at a time.
 	isolateAfter = 2
-	// quarantineAfter is how many end before it runs no more: a third
-	// instance is lost for the certainty that it was none of the others.
+	// quarantineAfter is how many end before it runs no more. The third, under
+	// an isolated request, tells it from the others.
 	quarantineAfter = 3
 	// Term is how long a request is kept from all instances after the last
 	// end. Whoever sends it may have mended it then, or the service may have
@@ -23,9 +23,10 @@
 	// forgetAfter is when a request under which no more instances ended is
 	// forgotten.
 	forgetAfter = 3 * time.Hour
-	// settleTime is how long a request is kept from all instances after so
-	// many ends without a proof. All nodes know of the last end by then, so
-	// that one instance is lost for the proof, and not one a node.
+	// settleTime is how long a request is kept from all instances after
+	// quarantineAfter ends without a proof: all nodes know of the last one by
+	// then, and the proof costs one instance, not one for each node that does
+	// not know yet.
 	settleTime = 1500 * time.Millisecond
 	// mostEnds bounds the ends that are kept of one request: several times
 	// those that decide.
@@ -65,8 +66,8 @@
 		Cleared  bool // the request has run to an answer since
 	}
 
-	// proves reports whether an end that came while a request ran isolated is
-	// its doing.
+	// proves reports whether an end under a request that ran isolated is its
+	// doing.
 	proves func(End) bool
 
 	// Record is what is known of one request.
@@ -142,8 +143,8 @@
 	return slices.ContainsFunc(r.Ends, func(e End) bool { return e.ID == id && !e.Cleared })
 }
 
-// provedWithout reports whether an instance ended while a request ran isolated
-// and another did not run there.
+// provedWithout reports whether an instance ended under a request that ran
+// isolated where another was not in progress.
 func (r *Record) provedWithout(other *Record) bool {
 	return slices.ContainsFunc(r.Ends, func(e End) bool { return e.Alone && !e.Cleared && !other.has(e.ID) })
 }
--- a/sidecar/quarantine.go
+++ b/sidecar/quarantine.go
@@ -11,15 +11,15 @@
 )
 
 const (
-	// laneWait is how long an isolated request of no other bound waits for
-	// the one before it.
+	// laneWait is how long a call of a running request waits for an isolated
+	// one, or isolated for suspects; new requests have their own patience.
 	laneWait = time.Second
-	// comeBackHeld is when to come back with a request that another isolated
-	// one kept out: a few such take this long.
+	// comeBackHeld is when to come back with a request that an isolated one
+	// kept out: two or three such take this long.
 	comeBackHeld = 500 * time.Millisecond
 )
 
-// kept is what the node keeps apart a request by.
+// kept is a request as quarantine knows it, and how it may run.
 type kept struct {
 	as    quarantine.Fingerprint
 	from  quarantine.Caller
@@ -56,9 +56,9 @@
 	return quarantine.Home(k.as, open, func(in directory.Instance) string { return in.Addr })
 }
 
-// enterLane lets a request through that may run beside those that run at the
-// local target. Were an isolated one and another suspect there when the
-// instance ends, it could be either's doing.
+// enterLane lets a request through when it may run beside those that run at
+// the local target. Were an isolated one and another suspect in progress when
+// the instance ends, it could be either's doing.
 func (n *Node) enterLane(ctx context.Context, r *call.Request, k kept) (leave func(), ok bool) {
 	if k.stage == quarantine.Quarantined {
 		return nil, false
@@ -70,8 +70,8 @@
 	return n.lane.Enter(ctx, k.stage, wait)
 }
 
-// mayRun reports whether a request whose turn has come may still run: an
-// instance may have ended under another of its kind while it waited.
+// mayRun reports whether a request whose turn has come may still run: another
+// that asks for the same may have ended an instance while it waited.
 func (n *Node) mayRun(k kept) bool {
 	now := n.stage(k)
 	return now <= k.stage || now <= quarantine.Suspect
