--- a/quarantine/outbreak_test.go
+++ b/quarantine/outbreak_test.go
@@ -346,3 +346,28 @@
 func TestAnOutbreakBesideEndsOfOtherCauseTakesNobodyAlong(t *testing.T) {
 	besideEnds.play(t, 43)
 }
+
+// All nodes are killed at once while a request is quarantined, and know nothing
+// when they are back. The request comes again and is learnt anew: three ends,
+// and a fourth where those were all under requests of one caller and another
+// caller's comes. That is one more than may run it so long after the third.
+func TestAnOutbreakThatAllNodesForgotEndsAgain(t *testing.T) {
+	for _, seed := range forgottenSeeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				Convey("Few instances run it in all", t, func() {
+					o := newOutbreak(seed, 6, 8*time.Millisecond)
+					o.play(time.Second, 240, nil, 0)
+					o.play(15*time.Second, 240, []Fingerprint{1}, 700*time.Millisecond)
+					for i := range o.books {
+						o.books[i] = newTestBook()
+					}
+					o.play(20*time.Second, 240, []Fingerprint{1}, 700*time.Millisecond)
+					So(o.later[1], ShouldBeLessThanOrEqualTo, furtherRuns)
+				})
+			})
+		})
+	}
+}
+
+var forgottenSeeds = []uint64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19}
