Ask for two proofs against a request where instances end by themselves

What callers saw: beside a request that ends instances, some instances ended by themselves. One harmless request of some 300 that had been in progress at two ends ran isolated at the next, whose instance ended by itself just then, and was refused for ten minutes.

Cause: one end under an isolated request counted as proof, whatever else ended instances. At half an end a second over six instances, a run of 220 ms has a chance of 1.8% to be there; of some hundred isolated runs one or two are.

Ruled out: a shorter term for a single proof (the request that does end instances would run once more each time all nodes forget it: 4 runs later than 3 s after the third end, 3 allowed); proof by the first answer elsewhere (each victim is a request of its own kind).

Now a node counts the ends without the request that no known request explains. With three or more, one proof holds for settleTime only, and a second one is asked for.

--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -86,21 +86,36 @@
 		return Free
 	}
 	e.Age = time.Since(e.last)
-	return e.stage(c, b.proves(e))
+	return e.stage(c, b)
 }
 
-// proves judges the ends that came while a request ran isolated. Another one
-// that nobody knew may have begun beside it; when that has ended an instance
-// alone elsewhere, the end here was its doing.
-func (b *Book) proves(e *entry) proves {
-	return func(end End) bool {
-		for _, f := range b.under[end.ID] {
-			if o := b.records[f]; f != e.Of && o != nil && o.provedWithout(&e.Record) {
-				return false
-			}
+// proves implements evidence. Another request that nobody knew may have begun
+// beside it; when that has ended an instance alone elsewhere, the end here was
+// its doing.
+func (b *Book) proves(r *Record, end End) bool {
+	for _, f := range b.under[end.ID] {
+		if o := b.records[f]; f != r.Of && o != nil && o.provedWithout(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// othersEnd implements evidence.
+func (b *Book) othersEnd(r *Record) bool {
+	n := 0
+	for id, fs := range b.under {
+		if n < endsOfOtherCause && !r.has(id) && !b.explained(fs) {
+			n++
 		}
-		return true
 	}
+	return n >= endsOfOtherCause
+}
+
+// explained reports whether one of the requests that ran when an instance ended
+// is known to end them.
+func (b *Book) explained(fs []Fingerprint) bool {
+	return slices.ContainsFunc(fs, func(f Fingerprint) bool { return b.records[f].alone() })
 }
 
 // Left returns how long a quarantined request of a caller is to be kept from
@@ -112,7 +127,7 @@
 	if e == nil {
 		return 0
 	}
-	return max(0, e.term(c, b.proves(e))-time.Since(e.last))
+	return max(0, e.term(c, b)-time.Since(e.last))
 }
 
 // Ended notes that an instance ended while it ran a request, and reports
@@ -193,7 +208,7 @@
 	close(now)
 	news.Any = now
 	for _, e := range b.records {
-		if e.seq > b.known(at) && e.worst(b.proves(e)) >= Isolated {
+		if e.seq > b.known(at) && e.worst(b) >= Isolated {
 			news.Urgent = now
 		}
 	}
@@ -207,7 +222,7 @@
 	n := 0
 	for _, e := range b.records {
 		e.Age = time.Since(e.last)
-		if e.worst(b.proves(e)) == s {
+		if e.worst(b) == s {
 			n++
 		}
 	}
@@ -262,7 +277,7 @@
 // change changes an entry by f, and notes and logs what became of it where f
 // reports news.
 func (b *Book) change(e *entry, f func() bool) bool {
-	was, had := e.worst(b.proves(e)), slices.Clone(e.Ends)
+	was, had := e.worst(b), slices.Clone(e.Ends)
 	if !f() {
 		return false
 	}
@@ -272,7 +287,7 @@
 	close(b.moved)
 	b.moved = make(chan struct{})
 	e.Age = time.Since(e.last)
-	now := e.worst(b.proves(e))
+	now := e.worst(b)
 	if now > was && now >= Isolated {
 		close(b.urgent)
 		b.urgent = make(chan struct{})
@@ -304,7 +319,7 @@
 		return
 	}
 	all := slices.SortedFunc(maps.Values(b.records), func(x, y *entry) int {
-		return cmp.Or(cmp.Compare(x.worst(b.proves(x)), y.worst(b.proves(y))), x.last.Compare(y.last))
+		return cmp.Or(cmp.Compare(x.worst(b), y.worst(b)), x.last.Compare(y.last))
 	})
 	for _, e := range all[:mostRecords/dropOneOf] {
 		b.forget(e.Of)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -23,6 +23,11 @@
 	// forgetAfter is when a request under which no more instances ended is
 	// forgotten.
 	forgetAfter = 3 * time.Hour
+	// endsOfOtherCause is how many instances must have ended without a request,
+	// and without another that is known to end them, for one proof against it to
+	// be too few: where instances end by themselves, one of some hundred
+	// requests that run isolated is there when it happens.
+	endsOfOtherCause = 3
 	// settleTime is how long a request is kept from all instances after
 	// quarantineAfter ends without a proof: all nodes know of the last one by
 	// then, and the proof costs one instance, not one for each node that does
@@ -66,9 +71,16 @@
 		Cleared  bool // the request has run to an answer since
 	}
 
-	// proves reports whether an end under a request that ran isolated is its
-	// doing.
-	proves func(End) bool
+	// evidence is what the other requests under which instances ended say about
+	// the ends of one.
+	evidence interface {
+		// proves reports whether an end under the request, which ran isolated,
+		// is its doing.
+		proves(e *Record, end End) bool
+		// othersEnd reports whether instances end without the request too, and
+		// none that is known ends them.
+		othersEnd(e *Record) bool
+	}
 
 	// Record is what is known of one request.
 	Record struct {
@@ -82,13 +94,13 @@
 
 // stage judges a request of a caller. From a caller from whom it has run to an
 // answer, only ends since then count, and only its own.
-func (r *Record) stage(c Caller, proves proves) Stage {
+func (r *Record) stage(c Caller, ev evidence) Stage {
 	switch n := len(r.counting(c)); {
 	case n == 0:
 		return Free
 	case n < isolateAfter:
 		return Suspect
-	case n < quarantineAfter || r.Age >= r.term(c, proves):
+	case n < quarantineAfter || r.Age >= r.term(c, ev):
 		return Isolated
 	}
 	return Quarantined
@@ -97,20 +109,23 @@
 // term is how long after the last end a request of a caller does not run,
 // where enough instances have ended. Instances may end by themselves while the
 // same page is read at all of them, so the number alone is no proof: one of the
-// ends must have come while the request ran isolated. Ends under several
-// callers' requests, or two proofs, speak against all callers; a single one does
-// not speak against another's.
-func (r *Record) term(c Caller, proves proves) time.Duration {
+// ends must have come while the request ran isolated, and two where instances
+// end by themselves. Ends under several callers' requests, or two proofs, speak
+// against all callers; a single one does not speak against another's.
+func (r *Record) term(c Caller, ev evidence) time.Duration {
 	ends := r.counting(c)
 	own := slices.ContainsFunc(ends, func(e End) bool { return e.Caller == c })
 	several := slices.ContainsFunc(ends, func(e End) bool { return e.Caller != ends[0].Caller })
 	proofs := 0
 	for _, e := range ends {
-		if e.Alone && proves(e) {
+		if e.Alone && ev.proves(r, e) {
 			proofs++
 		}
 	}
-	if proofs == 0 || !(own || several || proofs > 1) {
+	switch {
+	case proofs == 0 || (proofs == 1 && ev.othersEnd(r)):
+		return settleTime
+	case proofs == 1 && !own && !several:
 		return settleTime
 	}
 	return Term << min(proofs-1, mostDoublings)
@@ -130,10 +145,10 @@
 
 // worst is the highest stage of any caller under whose requests instances
 // ended.
-func (r *Record) worst(proves proves) Stage {
+func (r *Record) worst(ev evidence) Stage {
 	worst := Free
 	for _, e := range r.Ends {
-		worst = max(worst, r.stage(e.Caller, proves))
+		worst = max(worst, r.stage(e.Caller, ev))
 	}
 	return worst
 }
@@ -149,6 +164,12 @@
 	return slices.ContainsFunc(r.Ends, func(e End) bool { return e.Alone && !e.Cleared && !other.has(e.ID) })
 }
 
+// alone reports whether an instance ended under the request while it ran
+// isolated.
+func (r *Record) alone() bool {
+	return slices.ContainsFunc(r.Ends, func(e End) bool { return e.Alone && !e.Cleared })
+}
+
 // add takes over an end, or what is known besides of one, and reports whether
 // that is news. Which was told first makes no difference.
 func (r *Record) add(e End) bool {
--- a/quarantine/record_test.go
+++ b/quarantine/record_test.go
@@ -107,6 +107,47 @@
 	})
 }
 
+// Three instances ended by themselves, and a harmless request was at two other
+// ends and ran isolated at a third. One more end alone keeps it out; an answer
+// lets it run free.
+func TestOneProofIsTooFewWhereInstancesEndByThemselves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		restless := func(elsewhere int) *Book {
+			b := newTestBook()
+			for i := range elsewhere {
+				b.Ended(Fingerprint(100+i), end(EndID(100+i), "a"))
+			}
+			b.Ended(fatal, end(1, "a"))
+			b.Ended(fatal, end(2, "a"))
+			b.Ended(fatal, alone(3, "a"))
+			time.Sleep(settleTime)
+			return b
+		}
+		Convey("Two elsewhere are few", t, func() {
+			So(restless(2).Stage(fatal, "a"), ShouldEqual, Quarantined)
+		})
+		Convey("Three are not: it runs isolated again, and a second proof keeps it out", t, func() {
+			b := restless(3)
+			So(b.Stage(fatal, "a"), ShouldEqual, Isolated)
+			b.Ended(fatal, alone(4, "a"))
+			time.Sleep(settleTime)
+			So(b.Stage(fatal, "a"), ShouldEqual, Quarantined)
+		})
+		Convey("Or is answered, and runs free", t, func() {
+			b := restless(3)
+			b.Answered(fatal, "a")
+			So(b.Stage(fatal, "a"), ShouldEqual, Free)
+		})
+		Convey("Ends under a request that is known to end instances do not count", t, func() {
+			b := restless(3)
+			for i := range 3 {
+				b.Ended(9, alone(EndID(100+i), "a"))
+			}
+			So(b.Stage(fatal, "a"), ShouldEqual, Quarantined)
+		})
+	})
+}
+
 // A harmless request came where two instances ended, and ran isolated where a
 // third did: what ended that one had just begun there, and nobody knew it. When
 // that has ended another instance alone, the harmless one runs again.
