Keep what ended three instances from all callers for a minute

What callers saw: all nodes lost their memory while a request was quarantined.

Cause: a single proof did not speak against another caller at all. But a caller is known by the service of the VM where its request began, and the same sender comes at any VM.

Another caller is now kept out for a minute after a single proof, and then tried isolated; one that was answered before is not kept out. The test that asked for a run after 1.5 s rested on the old reading; the new one checks the stage before and after the minute, what is left of both terms, and the answered caller.

--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -15,6 +15,7 @@
 
 	facts struct {
 		ends  map[EndID]End
+		last  time.Time // when the last of them was
 		sound map[Caller]bool
 	}
 
@@ -49,6 +50,9 @@
 			e.Alone, e.Cleared = e.Alone || had.Alone, e.Cleared || had.Cleared
 			own.ends[id] = e
 		}
+		if x.last.After(own.last) {
+			own.last = x.last
+		}
 		maps.Copy(own.sound, x.sound)
 	}
 }
@@ -122,7 +126,7 @@
 		return Suspect
 	case n < 3 || proofs == 0 || (proofs == 1 && k.othersEnd(f)):
 		return Isolated
-	case proofs == 1 && own == 0 && len(callers) == 1:
+	case proofs == 1 && own == 0 && len(callers) == 1 && time.Since(x.last) >= time.Minute:
 		return Isolated
 	}
 	return Quarantined
@@ -187,12 +191,12 @@
 				e := End{ID: f.ids, Caller: caller(), Alone: rapid.Bool().Draw(t, "alone")}
 				f.books[i].Ended(fp, e)
 				x := f.oracles[i].of(fp)
-				x.ends[e.ID] = e
+				x.ends[e.ID], x.last = e, time.Now()
 				// Another node saw it too, and knows less of it.
 				j := node()
 				e.Alone = false
 				f.books[j].Ended(fp, e)
-				f.oracles[j].learn(known{fp: {ends: map[EndID]End{e.ID: e}}})
+				f.oracles[j].learn(known{fp: {ends: map[EndID]End{e.ID: e}, last: x.last}})
 			}
 		},
 		"answer": func(t *rapid.T) {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -23,6 +23,11 @@
 	// forgetAfter is when a request under which no more instances ended is
 	// forgotten.
 	forgetAfter = 3 * time.Hour
+	// otherTerm is the term for a caller under whose requests no instance ended,
+	// while one proof speaks against another caller's. A caller is known by the
+	// service beside which it sends only, and the same sender may come beside
+	// any; what is harmless from this one is tried a minute later.
+	otherTerm = time.Minute
 	// endsOfOtherCause is how many instances must have ended without a request,
 	// and without another that is known to end them, for one proof against it to
 	// be too few: where instances end by themselves, one of some hundred
@@ -111,7 +116,7 @@
 // same page is read at all of them, so the number alone is no proof: one of the
 // ends must have come while the request ran isolated, and two where instances
 // end by themselves. Ends under several callers' requests, or two proofs, speak
-// against all callers; a single one does not speak against another's.
+// against all callers; a single one speaks against another's for a short term.
 func (r *Record) term(c Caller, ev evidence) time.Duration {
 	ends := r.counting(c)
 	own := slices.ContainsFunc(ends, func(e End) bool { return e.Caller == c })
@@ -126,7 +131,7 @@
 	case proofs == 0 || (proofs == 1 && ev.othersEnd(r)):
 		return settleTime
 	case proofs == 1 && !own && !several:
-		return settleTime
+		return otherTerm
 	}
 	return Term << min(proofs-1, mostDoublings)
 }
--- a/quarantine/record_test.go
+++ b/quarantine/record_test.go
@@ -78,7 +78,9 @@
 }
 
 // Callers of one service send what ends instances; those of another send the
-// same and are answered. Or both end instances: then it is the content.
+// same. Which of them is the same sender at another VM, the service does not
+// say: it is kept out for a minute, then runs isolated, and is answered or ends
+// one more instance, the last.
 func TestTheSameContentFromAnotherCaller(t *testing.T) {
 	quarantined := func() *Book {
 		b := newTestBook()
@@ -89,8 +91,12 @@
 		return b
 	}
 	synctest.Test(t, func(t *testing.T) {
-		Convey("Another caller's runs isolated, and free when it is answered; that clears nobody else's", t, func() {
+		Convey("Another caller's runs isolated after a minute, and free when it is answered; that clears nobody else's", t, func() {
 			b := quarantined()
+			So(b.Stage(fatal, "b"), ShouldEqual, Quarantined)
+			So(b.Left(fatal, "b"), ShouldEqual, time.Minute-settleTime)
+			So(b.Left(fatal, "a"), ShouldEqual, Term-settleTime)
+			time.Sleep(time.Minute)
 			So(b.Stage(fatal, "b"), ShouldEqual, Isolated)
 			b.Answered(fatal, "b")
 			So(b.Stage(fatal, "b"), ShouldEqual, Free)
@@ -99,11 +105,21 @@
 		})
 		Convey("If it ends one more, nobody's runs", t, func() {
 			b := quarantined()
+			time.Sleep(time.Minute)
 			b.Ended(fatal, alone(4, "b"))
-			time.Sleep(settleTime)
+			time.Sleep(Term)
 			So(b.Stage(fatal, "b"), ShouldEqual, Quarantined)
 			So(b.Stage(fatal, "c"), ShouldEqual, Quarantined)
 		})
+		Convey("Who has been answered before is not kept out", t, func() {
+			b := newTestBook()
+			b.Ended(fatal, end(1, "a"))
+			b.Answered(fatal, "b")
+			b.Ended(fatal, end(2, "a"))
+			b.Ended(fatal, alone(3, "a"))
+			So(b.Stage(fatal, "b"), ShouldEqual, Free)
+			So(b.Stage(fatal, "a"), ShouldEqual, Quarantined)
+		})
 	})
 }
 
