Read messages of versions with more or fewer fields

What operators saw: a node of a version that had added a field to any message between nodes understood no node of the version before, nor they it; during an upgrade the fleet fell into two halves until the last node was replaced.

Cause: the codec reads a struct whose fields go by their place only from an array of exactly as many ("number of fields in array-encoded struct has changed"). It held for every such message: frames, requests, answers, loads, deltas, reports, questions.

Each such message now reads what it has of its own fields and passes over the rest. The version before, which cannot, still gets exactly its own fields: its bytes stand in testdata/former, read whole and written again to the byte.

Not done: a soak with processes of both versions.

--- a/directory/codec.go
+++ b/directory/codec.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/message"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -77,3 +78,10 @@
 	}
 	return x, err
 }
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (e *entry) DecodeMsgpack(d *msgpack.Decoder) error {
+	*e = entry{}
+	return message.Decode(d, (*string)(&e.ID), (*int64)(&e.Started), &e.Service, (*string)(&e.DC), &e.Addr, &e.Slots,
+		&e.Leaving, &e.ColdTill, (*uint64)(&e.Since), (*uint64)(&e.Revision))
+}
--- /dev/null
+++ b/directory/versions_test.go
@@ -0,0 +1,69 @@
+package directory
+
+import (
+	"encoding/hex"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func formerDelta(t testing.TB) []byte {
+	text, err := os.ReadFile("testdata/former/delta.hex")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := hex.DecodeString(string(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// sentDelta is what testdata/former/delta.hex has from the version before.
+func sentDelta(t testing.TB) Delta {
+	r, err := NewRoutes(42, Limits{HeaderBytes: 1, BodyBytes: 2, HeaderTimeout: time.Second, IdleTimeout: time.Minute}, []Route{
+		{Name: "read", Host: "h", Prefix: "/read/", Shares: []Share{{Service: "archiv", Weight: 9}, {Service: "entwurf", Weight: 1}}, Idempotent: true,
+			Timeout: time.Second, TargetLatency: time.Millisecond, MaxInstances: 2, Priority: 3}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Services = []Service{{Name: "archiv", HealthPath: "/health"}, {Name: "entwurf"}}
+	return Delta{After: 5, Age: time.Second, Gone: []Removal{{ID: "i-9", At: 6}}, Snapshot: Snapshot{Revision: 300, Routes: r, Instances: []Instance{
+		{ID: "i-1", Started: 1788000000123, Service: "archiv", DC: "nord", Addr: "10.1.0.8:8301", Slots: 108, Leaving: true,
+			ColdTill: time.Unix(1788000000, 5000).UTC(), Since: 4, Revision: 299}}}}
+}
+
+// Nodes learn routes and instances from each other. One of the version before
+// must neither miss what ours tell nor keep ours from what it knows.
+func TestDeltasOfTheVersionBeforeAreOurs(t *testing.T) {
+	Convey("Its delta is read whole, and ours is the same to it", t, func() {
+		want := sentDelta(t)
+		got, err := Decode(formerDelta(t))
+		So(err, ShouldBeNil)
+		got.Instances[0].ColdTill = got.Instances[0].ColdTill.UTC()
+		So(got, ShouldResemble, want)
+		ours, err := Encode(want)
+		So(err, ShouldBeNil)
+		So(ours, ShouldResemble, formerDelta(t))
+	})
+}
+
+// FuzzDelta: whatever another node tells, it is an error or can be told on.
+func FuzzDelta(f *testing.F) {
+	f.Add(formerDelta(f))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		x, err := Decode(b)
+		if err != nil {
+			return
+		}
+		out, err := Encode(x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(out); err != nil {
+			t.Fatalf("%x is read, and not when it is told on: %v", b, err)
+		}
+	})
+}
--- /dev/null
+++ b/quarantine/decode.go
@@ -0,0 +1,30 @@
+package quarantine
+
+import (
+	"github.com/oatpin/oatpin/message"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (c *Cursor) DecodeMsgpack(d *msgpack.Decoder) error {
+	*c = Cursor{}
+	return message.Decode(d, &c.Epoch, &c.Seq)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (r *Report) DecodeMsgpack(d *msgpack.Decoder) error {
+	*r = Report{}
+	return message.Decode(d, &r.Next, &r.Records)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (r *Record) DecodeMsgpack(d *msgpack.Decoder) error {
+	*r = Record{}
+	return message.Decode(d, (*uint64)(&r.Of), &r.Ends, &r.Sound, &r.Age)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (e *End) DecodeMsgpack(d *msgpack.Decoder) error {
+	*e = End{}
+	return message.Decode(d, (*uint64)(&e.ID), (*string)(&e.Caller), &e.Alone, &e.Cleared)
+}
--- a/sidecar/catchup.go
+++ b/sidecar/catchup.go
@@ -8,6 +8,7 @@
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
 	"github.com/oatpin/oatpin/membership"
+	"github.com/oatpin/oatpin/message"
 	"github.com/oatpin/oatpin/quarantine"
 	"github.com/oatpin/oatpin/wire"
 	"github.com/rotisserie/eris"
@@ -44,6 +45,12 @@
 	Told *quarantine.Cursor
 }
 
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (q *question) DecodeMsgpack(d *msgpack.Decoder) error {
+	*q = question{}
+	return message.Decode(d, (*uint64)(&q.After), &q.Wait, &q.Told)
+}
+
 // heardRevision is told the revision that a peer's answer carries. A source
 // that lost a change, or a reader that it does not answer while it answers
 // others, shows as a peer that stays ahead.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/message"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 type (
@@ -39,3 +41,15 @@
 	// needed.
 	KindCancel
 )
+
+// namedFrame is a Frame whose fields have names.
+type namedFrame Frame
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (f *Frame) DecodeMsgpack(d *msgpack.Decoder) error {
+	*f = Frame{}
+	if message.Named(d) {
+		return d.Decode((*namedFrame)(f))
+	}
+	return message.Decode(d, (*uint8)(&f.Kind), (*uint64)(&f.Stream), &f.Request, &f.Answer, &f.Config, &f.From)
+}
