Give no port twice to the processes of a test

TestStopWaitsForSlowRequests failed once ("listen peer 127.0.0.1:22122: address already in use"): freePorts had drawn 22122 for freigabe's target and for archiv's peer listener. Seven draws of 10,000 meet once in 480 tests, and every other draw of the process adds to that. Ports given are kept now.

--- a/cmd/oatpin/process_test.go
+++ b/cmd/oatpin/process_test.go
@@ -71,18 +71,25 @@
 	return nil
 }
 
-// freePorts returns n loopback ports that were free, picked below the
+// givenPorts are those that freePorts returned.
+var givenPorts = map[int]bool{}
+
+// freePorts returns n loopback ports that were free, none of them twice, picked below the
 // kernel's ephemeral range so that outgoing connections do not take them
 // between this check and the process binding them.
 func freePorts(t *testing.T, n int) []int {
 	var ports []int
 	for len(ports) < n {
 		p := 20000 + rand.IntN(10000)
+		if givenPorts[p] {
+			continue
+		}
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
 		if err != nil {
 			continue
 		}
 		l.Close()
+		givenPorts[p] = true
 		ports = append(ports, p)
 	}
 	return ports
