--- a/sidecar/fake_test.go
+++ b/sidecar/fake_test.go
@@ -28,7 +28,7 @@
 type (
 	// mesh is a few nodes on loopback addresses, each with a fake target.
 	mesh struct {
-		t     *testing.T
+		t     testing.TB
 		port  int // of every node's peer listener
 		vms   []*vm
 		ids   atomic.Int64
@@ -36,6 +36,8 @@
 		seeds []string // for nodes started from now on
 		// source is for the same; without one, nodes ask nobody either.
 		source directory.Source
+		// serve answers as targets in place of fakeTarget.
+		serve func(l net.Listener, id string)
 	}
 
 	// quietSource has nothing to tell.
@@ -119,7 +121,7 @@
 	return f.ran[id]
 }
 
-func listenOn(t *testing.T, ip string) net.Listener {
+func listenOn(t testing.TB, ip string) net.Listener {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatal(err)
@@ -140,7 +142,7 @@
 func init() { nextPort.Store(int64(rand.IntN(lastPort - firstPort))) }
 
 // freePort returns a port that nothing listens on at any test address.
-func freePort(t *testing.T) int {
+func freePort(t testing.TB) int {
 	for range lastPort - firstPort {
 		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
 		l, err := net.Listen("tcp", ":"+strconv.Itoa(port))
@@ -153,7 +155,7 @@
 	return 0
 }
 
-func freeAddr(t *testing.T, ip string) string { return net.JoinHostPort(ip, strconv.Itoa(freePort(t))) }
+func freeAddr(t testing.TB, ip string) string { return net.JoinHostPort(ip, strconv.Itoa(freePort(t))) }
 
 var testRoutes = []directory.Route{
 	{Name: "read", Host: "h", Prefix: "/read/", Idempotent: true, MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Priority: 2, Shares: []directory.Share{{Service: "archiv", Weight: 1}}},
@@ -163,7 +165,7 @@
 
 // newMesh starts a node and target for each service named, all of which know
 // the test routes and each other.
-func newMesh(t *testing.T, services ...string) *mesh {
+func newMesh(t testing.TB, services ...string) *mesh {
 	return (&mesh{t: t, port: freePort(t)}).populate(services)
 }
 
@@ -181,8 +183,13 @@
 	v := &vm{ip: ip, target: &fakeTarget{id: "i-" + ip, ran: map[string]int{}}, ended: make(chan error, 1)}
 	l := listenOn(m.t, ip)
 	v.self = directory.Instance{ID: directory.InstanceID(v.target.id), Service: service, DC: "nord", Addr: l.Addr().String(), Slots: 20, Revision: 1}
-	v.serve(l)
-	m.until = append(m.until, v.crash)
+	if m.serve != nil {
+		go m.serve(l, v.target.id)
+		m.until = append(m.until, func() { l.Close() })
+	} else {
+		v.serve(l)
+		m.until = append(m.until, v.crash)
+	}
 	m.run(v)
 	return v
 }
