Take the memory for a body in one piece where its length is told

io.ReadAll of the target's answer was 18% of the bytes that a request takes by the memory profile: it begins with 512 bytes and copies five times on the way to 6 kB. A length up to 64 kB is now read into one piece; a longer one, or none, as before, since a target or a caller may promise more than it sends.

--- a/sidecar/body.go
+++ b/sidecar/body.go
@@ -9,8 +9,13 @@
 	"time"
 )
 
-// bodyDefault bounds one body until an operator's limit is known.
-const bodyDefault = 1 << 20
+const (
+	// bodyDefault bounds one body until an operator's limit is known.
+	bodyDefault = 1 << 20
+	// onePiece bounds the memory that is taken for a body before it is there:
+	// a caller may promise more than it sends.
+	onePiece = 64 << 10
+)
 
 // readBody reads a whole body within the operator's limit, the memory for all
 // bodies and the request's time: a caller that sends slowly, or stops, holds
@@ -30,6 +35,7 @@
 		n.log.WithError(err).Warn("body_unbounded_in_time")
 	}
 	var buf bytes.Buffer
+	buf.Grow(int(min(max(r.ContentLength, 0), limit, onePiece)))
 	_, err := io.Copy(&buf, http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -39,6 +39,9 @@
 	// answer is awaited: a target may answer first, and a body that does not
 	// fit the socket's buffer would wait for it to read on.
 	bigBody = 16 << 10
+	// onePiece is the length up to which the memory for an answer's body is
+	// taken before it is there: what a target promises it may break off.
+	onePiece = 64 << 10
 	// maxAnswer bounds an answer's body held in memory.
 	maxAnswer = 64 << 20
 )
@@ -52,6 +55,8 @@
 	// ErrNoAnswer means that the request was written, in part or whole, and
 	// no whole answer to it came: it may have run.
 	ErrNoAnswer = eris.New("no whole answer from the target")
+
+	errTooLong = eris.Errorf("answer over %d bytes", maxAnswer)
 )
 
 type (
@@ -246,14 +251,10 @@
 	if err != nil {
 		return nil, false, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	resp.Body.Close()
+	body, err := readAnswer(resp)
 	if err != nil {
 		return nil, false, err
 	}
-	if len(body) > maxAnswer {
-		return nil, false, eris.Errorf("answer over %d bytes", maxAnswer)
-	}
 	a = &Answer{Code: resp.StatusCode, Header: resp.Header, Body: body}
 	select {
 	case err := <-written:
@@ -268,6 +269,24 @@
 	return a, reuse, nil
 }
 
+// readAnswer reads an answer's body, which is seldom long.
+func readAnswer(resp *http.Response) ([]byte, error) {
+	defer resp.Body.Close()
+	if resp.ContentLength > maxAnswer {
+		return nil, errTooLong
+	}
+	if resp.Body != http.NoBody && resp.ContentLength >= 0 && resp.ContentLength <= onePiece {
+		body := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err == nil && len(body) > maxAnswer {
+		err = errTooLong
+	}
+	return body, err
+}
+
 // read returns the answer to r. A target may send a second, late answer to
 // an earlier request where this one's is due; the id in it tells.
 func (p *Pool) read(c *conn, r *Request) (*http.Response, error) {
--- a/targetconn/pool_test.go
+++ b/targetconn/pool_test.go
@@ -389,3 +389,36 @@
 		So(p.Ended(context.Background()), ShouldBeTrue)
 	})
 }
+
+// An answer to HEAD tells the length of a body that does not follow; one that
+// promises much may break off, and is none.
+func TestALengthIsNoBody(t *testing.T) {
+	Convey("A promised body is neither waited for nor made up", t, func() {
+		p, _ := startTarget(t, func(n int, c net.Conn, r *bufio.Reader) {
+			req, _, ok := read(r)
+			if !ok {
+				return
+			}
+			head := "HTTP/1.1 200 OK\r\nRequest-Id: " + req.Header.Get("Request-Id") + "\r\nSignature: s\r\nContent-Length: "
+			switch req.Method {
+			case http.MethodHead:
+				io.WriteString(c, head+"1500\r\n\r\n")
+			case http.MethodPut:
+				io.WriteString(c, head+strconv.Itoa(3*onePiece)+"\r\n\r\n"+strings.Repeat("a", 3*onePiece))
+			default:
+				io.WriteString(c, head+strconv.Itoa(3*onePiece)+"\r\n\r\n"+strings.Repeat("a", onePiece))
+			}
+		})
+		ask := func(method string) (*Answer, error) {
+			return p.Do(context.Background(), &Request{ID: "1", Method: method, Host: "h", URI: "/", Header: http.Header{"Request-Id": {"1"}}})
+		}
+		a, err := ask(http.MethodHead)
+		So(err, ShouldBeNil)
+		So(a.Body, ShouldBeEmpty)
+		a, err = ask(http.MethodPut)
+		So(err, ShouldBeNil)
+		So(len(a.Body), ShouldEqual, 3*onePiece)
+		_, err = ask(http.MethodGet)
+		So(errors.Is(err, ErrNoAnswer), ShouldBeTrue)
+	})
+}
