Let in by API keys, and tell targets whose request it is

A version of the configuration may hold client accounts with keys, priority, rate and burst. It is checked whole; one that gives a key to two accounts, or is otherwise not sound, leaves the version in force.

A new request on a route that is not public needs a key of the version in force: 401 else, or 503 with when to come back while a newer version may hold it. The target gets the holder's name in place of the key, whatever the caller wrote there. Calls of a running request carry no key and name no account; one whose request is not known to run here gets 503. An account's rank goes before its route's, in everything that goes by levels.

--- /dev/null
+++ b/account/book_test.go
@@ -0,0 +1,98 @@
+package account
+
+import (
+	"errors"
+	"math"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func digests(keys ...string) []Digest {
+	var ds []Digest
+	for _, k := range keys {
+		ds = append(ds, DigestOf(k))
+	}
+	return ds
+}
+
+func TestAKeyIsItsHoldersOnly(t *testing.T) {
+	Convey("Each key of an account, whole, and no other", t, func() {
+		b, err := NewBook([]Account{{Name: "a", Keys: digests("ka", "kb")}, {Name: "b", Keys: digests("kc")}, {Name: "c"}})
+		So(err, ShouldBeNil)
+		So(b.Holder("kb").Name, ShouldEqual, Name("a"))
+		So(b.Holder("kc").Name, ShouldEqual, Name("b"))
+		for _, k := range []string{"", "k", "kaa", "KA", "ka ", "kd"} {
+			So(b.Holder(k), ShouldBeNil)
+		}
+		So(b.Find("c"), ShouldNotBeNil)
+		So(b.Find("d"), ShouldBeNil)
+	})
+}
+
+// A version that gives a key to two accounts would let either pass for the
+// other. It must be refused whole, and its reason must not show the key.
+func TestAccountsThatDoNotHoldTogetherAreRefused(t *testing.T) {
+	for _, c := range []struct {
+		name, says string
+		all        []Account
+	}{
+		{"a key of two accounts", "holds a key of a", []Account{{Name: "a", Keys: digests("secret")}, {Name: "b", Keys: digests("secret")}}},
+		{"no name", "no name", []Account{{}}},
+		{"a name twice", "named twice", []Account{{Name: "a"}, {Name: "a"}}},
+		{"a negative rate", "negative", []Account{{Name: "a", Rate: -1}}},
+		{"a negative burst", "negative", []Account{{Name: "a", Burst: -1}}},
+		{"a rate that is no number", "negative", []Account{{Name: "a", Rate: math.NaN()}}},
+		{"an empty key", "an empty key", []Account{{Name: "a", Keys: digests("")}}},
+	} {
+		Convey(c.name, t, func() {
+			_, err := NewBook(c.all)
+			So(errors.Is(err, ErrInvalid), ShouldBeTrue)
+			So(err.Error(), ShouldContainSubstring, c.says)
+			So(strings.Contains(err.Error(), "secret"), ShouldBeFalse)
+		})
+	}
+	Convey("The same key twice with one account, and every problem is named", t, func() {
+		_, err := NewBook([]Account{{Name: "a", Keys: digests("k", "k")}})
+		So(err, ShouldBeNil)
+		_, err = NewBook([]Account{{Name: "a", Rate: -1}, {Name: "a"}})
+		So(err.Error(), ShouldContainSubstring, "negative")
+		So(err.Error(), ShouldContainSubstring, "twice")
+	})
+}
+
+func TestRanksHaveNoGaps(t *testing.T) {
+	Convey("In the order of priorities; callers without an account come last", t, func() {
+		b, err := NewBook([]Account{{Name: "a", Priority: 7}, {Name: "b", Priority: 0}, {Name: "c", Priority: 7}, {Name: "d", Priority: 3}})
+		So(err, ShouldBeNil)
+		So(b.Ranks(), ShouldEqual, 3)
+		So(b.Rank(b.Find("b")), ShouldEqual, 0)
+		So(b.Rank(b.Find("d")), ShouldEqual, 1)
+		So(b.Rank(b.Find("a")), ShouldEqual, 2)
+		So(b.Rank(nil), ShouldEqual, 2)
+		none, err := NewBook(nil)
+		So(err, ShouldBeNil)
+		So(none.Ranks(), ShouldEqual, 1)
+		So(none.Rank(nil), ShouldEqual, 0)
+	})
+}
+
+func BenchmarkHolder(b *testing.B) {
+	var all []Account
+	for i := range 1000 {
+		k := strings.Repeat(string(rune('a'+i%26)), 20) + string(rune(0x4e00+i))
+		all = append(all, Account{Name: Name(k), Keys: digests(k)})
+	}
+	book, err := NewBook(all)
+	if err != nil {
+		b.Fatal(err)
+	}
+	key := string(all[500].Name)
+	b.ReportAllocs()
+	for b.Loop() {
+		if book.Holder(key) == nil {
+			b.Fatal("not found")
+		}
+	}
+}
--- a/admit/cost.go
+++ b/admit/cost.go
@@ -34,16 +34,21 @@
 
 // Levels gives new requests their levels.
 type Levels interface {
-	Level(route string, priority int, id call.RequestID) call.Level
+	Level(k Kind, id call.RequestID) call.Level
+}
+
+// Kind is what is known of a new request's rank.
+type Kind struct {
+	Route    string
+	Priority int // of the route; routes of the same are weighed by their cost
+	Rank     int // of the request
 }
 
 // Even draws the levels of all routes alike.
 type Even struct{}
 
 // Level implements Levels.
-func (Even) Level(_ string, priority int, id call.RequestID) call.Level {
-	return LevelOf(priority, id)
-}
+func (Even) Level(k Kind, id call.RequestID) call.Level { return LevelOf(k.Rank, id) }
 
 type cost struct {
 	rank  int
@@ -80,8 +85,8 @@
 // Level returns the level of a new request. All of its calls have it too, so
 // a request that one target would refuse is refused as a whole and not after
 // half its calls.
-func (c *Costs) Level(route string, priority int, id call.RequestID) call.Level {
-	return levelOf(priority, id, c.weight(route, rank(priority)))
+func (c *Costs) Level(k Kind, id call.RequestID) call.Level {
+	return levelOf(k.Rank, id, c.weight(k.Route, rank(k.Priority)))
 }
 
 // weight is the part of the parts that a route's requests are drawn from:
--- a/admit/cost_test.go
+++ b/admit/cost_test.go
@@ -13,7 +13,7 @@
 func admitted(c *Costs, route string, priority int, up call.Level) float64 {
 	n := 0
 	for i := range 2000 {
-		if c.Level(route, priority, call.RequestID(fmt.Sprint(route, i))) <= up {
+		if c.Level(Kind{Route: route, Priority: priority, Rank: priority}, call.RequestID(fmt.Sprint(route, i))) <= up {
 			n++
 		}
 	}
@@ -59,6 +59,6 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		c.Level("r4", 1, "9c41d07be2a35f68")
+		c.Level(Kind{Route: "r4", Priority: 1, Rank: 1}, "9c41d07be2a35f68")
 	}
 }
--- a/admit/level.go
+++ b/admit/level.go
@@ -18,6 +18,15 @@
 	Top call.Level = levels - 1
 )
 
+// Squeeze maps a rank out of so many to one of those that are told apart,
+// in the same order.
+func Squeeze(rank, of int) int {
+	if of <= maxRank+1 {
+		return rank
+	}
+	return rank * (maxRank + 1) / of
+}
+
 // LevelOf returns the level of a request of which nothing but its priority is
 // known: its rank and, within it, a part drawn from its id. All nodes draw
 // the same part.
--- a/admit/prospect.go
+++ b/admit/prospect.go
@@ -37,7 +37,7 @@
 
 // prospect is a route's part of success and when it was last noted.
 type prospect struct {
-	rank int
+	rank int // the highest of its requests; probes are of that one
 	part float64
 	at   time.Time
 }
@@ -57,14 +57,14 @@
 	now := time.Now()
 	r := p.routes[route]
 	if r.old(now) {
-		r.part = 1
+		r.part, r.rank = 1, maxRank
 	}
 	part := 0.0
 	if ok {
 		part = 1
 	}
 	r.part += (part - r.part) * prospectSmoothing
-	r.rank, r.at = rank(priority), now
+	r.rank, r.at = min(r.rank, rank(priority)), now
 	p.routes[route] = r
 }
 
--- a/call/http.go
+++ b/call/http.go
@@ -15,6 +15,9 @@
 		NotExecuted      string // on an answer to a request that the target did not run
 		CallerService    string // service of the VM at which the request began
 		Instance         string // on the answer of a health check: which instance gave it
+		Key              string // API key of a client account, after KeyScheme and a space
+		KeyScheme        string
+		Account          string // to the target, in place of Key: who holds it
 	}
 
 	// Field is one header line.
--- a/directory/codec.go
+++ b/directory/codec.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/message"
 	"github.com/rotisserie/eris"
@@ -21,6 +22,9 @@
 		Routes    []Route           `msgpack:"routes"`
 		Instances []entry           `msgpack:"instances"`
 		Gone      []Removal         `msgpack:"gone"`
+		// Accounted says that callers need one of the accounts.
+		Accounted bool              `msgpack:"accounted,omitempty"`
+		Accounts  []account.Account `msgpack:"accounts,omitempty"`
 	}
 
 	// entry is an Instance as listed; its fields go by their place, which
@@ -52,6 +56,9 @@
 		for _, rts := range x.Routes.hosts {
 			e.Routes = append(e.Routes, rts...)
 		}
+		if b := x.Routes.Accounts; b != nil {
+			e.Accounted, e.Accounts = true, b.All()
+		}
 	}
 	b, err := msgpack.Marshal(e)
 	return b, eris.Wrap(err, "encode delta")
@@ -73,12 +80,25 @@
 		return x, nil
 	}
 	var err error
-	if x.Routes, err = NewRoutes(e.Version, e.Limits, e.Routes); err == nil {
-		x.Routes.Services = e.Services
-	}
+	x.Routes, err = e.routes()
 	return x, err
 }
 
+// routes puts together the version of the routes that was told.
+func (e *encoded) routes() (*Routes, error) {
+	r, err := NewRoutes(e.Version, e.Limits, e.Routes)
+	if err != nil {
+		return nil, err
+	}
+	r.Services = e.Services
+	if e.Accounted {
+		if r.Accounts, err = account.NewBook(e.Accounts); err != nil {
+			return nil, eris.Wrap(ErrInvalidRoutes, err.Error())
+		}
+	}
+	return r, nil
+}
+
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (e *entry) DecodeMsgpack(d *msgpack.Decoder) error {
 	*e = entry{}
--- a/directory/routes.go
+++ b/directory/routes.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
 
+	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/rotisserie/eris"
 )
@@ -39,6 +41,8 @@
 		TargetLatency time.Duration // an answer later than this is worth less
 		MaxInstances  int           // how many instances one request may be sent to
 		Priority      int           // 0 is refused last
+		// Public routes are open to callers without an account.
+		Public bool `msgpack:",omitempty"`
 	}
 
 	// Limits bound what a caller may send and how long it may take.
@@ -61,7 +65,11 @@
 		Limits  Limits
 		// Services are those there are; nil where the source names none.
 		Services []Service
-		hosts    map[string][]Route // longest prefix first
+		// Accounts are those whose keys are let in; nil where callers need
+		// none.
+		Accounts   *account.Book
+		hosts      map[string][]Route // longest prefix first
+		priorities []int              // that routes have, in order
 	}
 )
 
@@ -74,16 +82,31 @@
 		problems = append(problems, rt.problems()...)
 		h := strings.ToLower(rt.Host)
 		r.hosts[h] = append(r.hosts[h], rt)
+		r.priorities = append(r.priorities, rt.Priority)
 	}
 	if len(problems) > 0 {
 		return nil, eris.Wrap(ErrInvalidRoutes, errors.Join(problems...).Error())
 	}
+	slices.Sort(r.priorities)
+	r.priorities = slices.Compact(r.priorities)
 	for _, rts := range r.hosts {
 		sort.SliceStable(rts, func(i, j int) bool { return len(rts[i].Prefix) > len(rts[j].Prefix) })
 	}
 	return r, nil
 }
 
+// Rank orders the requests of accounts on routes, from 0 without gaps, out of
+// so many ranks: an account's priority goes before a route's. Where callers need
+// no account it is the route's priority, of any number.
+func (r *Routes) Rank(a *account.Account, rt *Route) (rank, of int) {
+	if r.Accounts == nil {
+		return rt.Priority, 0
+	}
+	i, _ := slices.BinarySearch(r.priorities, rt.Priority)
+	n := len(r.priorities)
+	return r.Accounts.Rank(a)*n + i, r.Accounts.Ranks() * n
+}
+
 // names reports whether the routes name a service; none known name all.
 func (r *Routes) names(service string) bool {
 	if r == nil || r.Services == nil {
--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"os"
 	"testing"
 	"time"
 
+	"github.com/oatpin/oatpin/account"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -67,3 +69,42 @@
 		}
 	})
 }
+
+// Accounts are told with the version that has them, and so is that there are
+// none: a node that took that for no need of a key would let everybody in.
+func TestAccountsAreToldWithTheirVersion(t *testing.T) {
+	Convey("As they are, also where there are none", t, func() {
+		for _, all := range [][]account.Account{nil, {}, {{Name: "a", Keys: []account.Digest{account.DigestOf("k")}, Priority: 1, Rate: 2.5, Burst: 3}, {Name: "b"}}} {
+			x := sentDelta(t)
+			x.Routes.Accounts = nil
+			if all != nil {
+				b, err := account.NewBook(all)
+				So(err, ShouldBeNil)
+				x.Routes.Accounts = b
+			}
+			b, err := Encode(x)
+			So(err, ShouldBeNil)
+			So(string(b), ShouldNotContainSubstring, `"k"`)
+			got, err := Decode(b)
+			So(err, ShouldBeNil)
+			So(got.Routes.Accounts == nil, ShouldEqual, all == nil)
+			if all != nil {
+				So(len(got.Routes.Accounts.All()), ShouldEqual, len(all))
+			}
+			if len(all) > 0 {
+				So(*got.Routes.Accounts.Holder("k"), ShouldResemble, all[0])
+			}
+		}
+	})
+	Convey("Those that do not hold together are no version", t, func() {
+		x := sentDelta(t)
+		b, err := account.NewBook([]account.Account{{Name: "a"}, {Name: "b"}})
+		So(err, ShouldBeNil)
+		b.All()[1].Name = "a"
+		x.Routes.Accounts = b
+		bad, err := Encode(x)
+		So(err, ShouldBeNil)
+		_, err = Decode(bad)
+		So(errors.Is(err, ErrInvalidRoutes), ShouldBeTrue)
+	})
+}
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
@@ -33,6 +34,8 @@
 	deadline time.Time
 	entered  time.Time
 	kept     kept
+	account  *account.Account // whose key it carries; nil for none
+	rank     int
 	// turnBy is until when a new request may wait for its turn, at all
 	// instances together; zero for a call of a request that runs already.
 	turnBy time.Time
@@ -76,7 +79,7 @@
 		return
 	}
 	if a.Status != call.NotRun && !left {
-		n.prospects.Ended(q.route.Name, q.route.Priority, ok)
+		n.prospects.Ended(q.route.Name, q.rank, ok)
 	}
 	if ok && scarce > 0 {
 		n.costs.Took(q.route.Name, q.route.Priority, scarce)
@@ -103,8 +106,13 @@
 		return nil, &refusal{code: http.StatusBadRequest, cause: causeRequest, why: err.Error()}
 	}
 	id := call.RequestID(r.Header.Get(n.cfg.Headers.RequestID))
-	from := n.place(id, rt)
+	from := n.origin(id, rt)
 	if !from.begun {
+		var no *refusal
+		if from.account, no = n.holder(r, routes, rt, id); no != nil {
+			return nil, no
+		}
+		n.place(&from, routes, rt, id)
 		if no := n.admitNew(rt, from.level, left); no != nil {
 			return nil, no
 		}
@@ -113,8 +121,8 @@
 	if no != nil {
 		return nil, no
 	}
-	q := &request{route: rt, entered: entered, deadline: entered.Add(left)}
-	q.Request = call.Request{ID: id, Service: rt.Service(n.draw()), Operation: rt.Name, Body: body, HTTP: n.forTarget(r, rt, from)}
+	q := &request{route: rt, entered: entered, deadline: entered.Add(left), account: from.account, rank: from.rank}
+	q.Request = call.Request{ID: id, Service: rt.Service(n.draw()), Operation: rt.Name, Body: body, HTTP: n.forTarget(r, routes, rt, from)}
 	q.kept = n.keptAs(&q.Request)
 	if !from.begun {
 		q.turnBy = entered.Add(n.patience(n.times(rt, left)))
@@ -128,8 +136,9 @@
 }
 
 // forTarget is the request as its target is to get it.
-func (n *Node) forTarget(r *http.Request, rt *directory.Route, from origin) *call.HTTPRequest {
-	return &call.HTTPRequest{Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: n.fields(r.Header),
+func (n *Node) forTarget(r *http.Request, routes *directory.Routes, rt *directory.Route, from origin) *call.HTTPRequest {
+	fields := n.withAccount(n.fields(r.Header, routes.Accounts != nil), from.account)
+	return &call.HTTPRequest{Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: fields,
 		Caller: n.cfg.Service, Level: from.level, Begun: from.begun, Repeat: from.repeat, Idempotent: rt.Idempotent}
 }
 
@@ -138,18 +147,28 @@
 	level  call.Level
 	begun  bool // a call of a request that runs at the local target
 	repeat bool // and that request is a repeat
+	// account is whose key a new request carries; nil for none.
+	account *account.Account
+	rank    int // of a new request
 }
 
-// place returns a request's origin; a call has the level of the request that
-// it is made for.
-func (n *Node) place(id call.RequestID, rt *directory.Route) origin {
-	if p, ok := n.running.calling(id); ok {
-		n.board.Called(p.route, rt.Name)
-		return origin{level: p.level, begun: true, repeat: p.repeat}
+// origin finds out whether a request is a call of one that runs, and has the
+// level of that one then.
+func (n *Node) origin(id call.RequestID, rt *directory.Route) origin {
+	p, ok := n.running.calling(id)
+	if !ok {
+		return origin{}
 	}
-	level := n.levels.Level(rt.Name, rt.Priority, id)
-	n.board.See(level)
-	return origin{level: level}
+	n.board.Called(p.route, rt.Name)
+	return origin{level: p.level, begun: true, repeat: p.repeat}
+}
+
+// place gives a new request its rank and level.
+func (n *Node) place(from *origin, routes *directory.Routes, rt *directory.Route, id call.RequestID) {
+	rank, of := routes.Rank(from.account, rt)
+	from.rank = admit.Squeeze(rank, of)
+	from.level = n.levels.Level(admit.Kind{Route: rt.Name, Priority: rt.Priority, Rank: from.rank}, id)
+	n.board.See(from.level)
 }
 
 // admitNew refuses a new request that the node will not see through, or that
@@ -213,6 +232,9 @@
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, f *refusal) {
 	id := r.Header.Get(n.cfg.Headers.RequestID)
 	n.stats.refused(f.cause)
+	if f.code == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", n.cfg.Headers.KeyScheme)
+	}
 	n.note.Note("request_refused", func() log.Fields {
 		return log.Fields{"id": id, "code": f.code, "why": f.why, "come_back_ms": f.after.Milliseconds(), "routes": n.version(), "path": r.URL.Path}
 	})
--- a/sidecar/fake_test.go
+++ b/sidecar/fake_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/budget"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
@@ -23,7 +24,8 @@
 )
 
 var testHeaders = call.Headers{RequestID: "Request-Id", Deadline: "Deadline-Ms", Signature: "Signature",
-	ExpectedInstance: "Expected-Instance", NotExecuted: "Not-Executed", CallerService: "Caller-Service", Instance: "Instance-Id"}
+	ExpectedInstance: "Expected-Instance", NotExecuted: "Not-Executed", CallerService: "Caller-Service", Instance: "Instance-Id",
+	Key: "Authorization", KeyScheme: "Key", Account: "Account"}
 
 type (
 	// mesh is a few nodes on loopback addresses, each with a fake target.
@@ -38,6 +40,8 @@
 		source directory.Source
 		// serve answers as targets in place of fakeTarget.
 		serve func(l net.Listener, id string)
+		// accounts are in every version that nodes are told; nil for none.
+		accounts *account.Book
 	}
 
 	// quietSource has nothing to tell.
@@ -160,6 +164,7 @@
 var testRoutes = []directory.Route{
 	{Name: "read", Host: "h", Prefix: "/read/", Idempotent: true, MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Priority: 2, Shares: []directory.Share{{Service: "archiv", Weight: 1}}},
 	{Name: "publish", Host: "h", Prefix: "/publish/", MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Shares: []directory.Share{{Service: "archiv", Weight: 1}}},
+	{Name: "open", Host: "h", Prefix: "/open/", Idempotent: true, MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Priority: 2, Public: true, Shares: []directory.Share{{Service: "archiv", Weight: 1}}},
 	{Name: "lookup", Host: "h", Prefix: "/lookup/", Idempotent: true, MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Priority: 1, Shares: []directory.Share{{Service: "versand", Weight: 1}}},
 }
 
@@ -239,6 +244,7 @@
 		m.t.Fatal(err)
 	}
 	r.Services = []directory.Service{{Name: "archiv", HealthPath: "/health"}, {Name: "versand", HealthPath: "/health"}, {Name: "entwurf", HealthPath: "/health"}}
+	r.Accounts = m.accounts
 	s := directory.Snapshot{Revision: directory.Revision(version), Routes: r}
 	for _, v := range m.vms {
 		s.Instances = append(s.Instances, v.self)
--- a/sidecar/header.go
+++ b/sidecar/header.go
@@ -11,16 +11,33 @@
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
-// fields returns the headers that go on to the target; those that a node
-// sets itself are left out.
-func (n *Node) fields(h http.Header) []call.Field {
-	drop := map[string]bool{n.cfg.Headers.Deadline: true, n.cfg.Headers.ExpectedInstance: true,
-		n.cfg.Headers.CallerService: true, "Content-Length": true, "Host": true, "Expect": true}
-	return endToEnd(h, drop)
+// ownFields are the names of headers that do not go on to the target.
+type ownFields map[string]bool
+
+// lengthField is set anew for each body.
+var lengthField = ownFields{"Content-Length": true}
+
+// newOwnFields returns the headers that a node sets itself or keeps; with
+// accounts those besides that say whose request it is.
+func newOwnFields(names call.Headers, accounts bool) ownFields {
+	own := ownFields{names.Deadline: true, names.ExpectedInstance: true, names.CallerService: true,
+		"Content-Length": true, "Host": true, "Expect": true}
+	if accounts {
+		own[names.Key], own[names.Account] = true, true
+	}
+	return own
+}
+
+// fields returns the headers that go on to the target.
+func (n *Node) fields(h http.Header, accounts bool) []call.Field {
+	if accounts {
+		return endToEnd(h, n.ownWithAccounts)
+	}
+	return endToEnd(h, n.own)
 }
 
 // endToEnd returns the headers of h that do not concern one connection only.
-func endToEnd(h http.Header, drop map[string]bool) []call.Field {
+func endToEnd(h http.Header, drop ownFields) []call.Field {
 	named := h["Connection"]
 	fs := make([]call.Field, 0, len(h))
 	for name, values := range h {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -111,7 +111,10 @@
 		wire      wire.Server
 		callers   *http.Server
 		ready     *http.Server
-		metrics   *http.Server
+		own       ownFields
+		// ownWithAccounts is for versions with client accounts.
+		ownWithAccounts ownFields
+		metrics         *http.Server
 
 		draws    atomic.Uint64 // numbers the draws of split routes
 		tuning   atomic.Pointer[Tuning]
@@ -159,6 +162,9 @@
 		lane:     quarantine.NewLane(),
 		heard:    heard{upTo: map[membership.Addr]quarantine.Cursor{}},
 		stop:     make(chan struct{}),
+
+		own:             newOwnFields(cfg.Headers, false),
+		ownWithAccounts: newOwnFields(cfg.Headers, true),
 	}
 	self, err := n.peerOf(directory.Instance{Addr: cfg.Target})
 	if err != nil {
--- a/sidecar/overload_test.go
+++ b/sidecar/overload_test.go
@@ -20,8 +20,8 @@
 		m.vms[0].target.on(func(w http.ResponseWriter, r *http.Request) {
 			v := m.vms[0]
 			id := r.Header.Get("Request-Id")
-			from := v.node.place(rid(id+".c1"), &testRoutes[2])
-			other := v.node.place(rid("x.c1"), &testRoutes[2])
+			from := v.node.origin(rid(id+".c1"), &testRoutes[2])
+			other := v.node.origin(rid("x.c1"), &testRoutes[2])
 			v.node.board.Told("lookup", 0, "versand")
 			below, _ := v.node.board.Below("read")
 			if !from.begun || other.begun || from.level != admit.LevelOf(2, rid(id)) || below != 0 {
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -223,7 +223,7 @@
 		a.Status = call.Failed
 		a.Reason = "target answered " + strconv.Itoa(got.Code)
 	}
-	a.HTTP = &call.HTTPAnswer{Code: got.Code, Header: endToEnd(got.Header, map[string]bool{"Content-Length": true})}
+	a.HTTP = &call.HTTPAnswer{Code: got.Code, Header: endToEnd(got.Header, lengthField)}
 	a.Body = got.Body
 	return a
 }
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -20,6 +20,7 @@
 	causeNoRoute  cause = "no_route"   // no route matches
 	causeLeaving  cause = "leaving"    // the node is stopping
 	causeRequest  cause = "bad_header" // a header is missing or malformed
+	causeKey      cause = "key"        // no account known here holds the key
 	causeBody     cause = "body"       // too large, too slow, cut, or no memory for it
 	// causeQuarantine is that instances ended under the request.
 	causeQuarantine cause = "quarantine"
