Hold client accounts to their limits over all nodes

An account may send its rate a second and its burst, over all nodes together; what is over gets 429 with when there will be room. What an account of five times its limit sends uses up a window's allowance in 1.6 s, a small account's few requests a second come to many nodes: neither fits a limit divided by the nodes.

Each node tells a collector of its data centre what it was asked for and let in, once a second, and every 150 ms of accounts near their limits; the collectors, the first of the nodes that read the source, add it up in one token bucket an account and tell each other. The answer says what is left: freely while the bucket is half full, then the node's share by what it is usually asked for. A node that hears nothing goes on with its share, so does a data centre that is cut off, and the others hold that part back. After a start an account has a quarter of its burst. What is not run is given back.

--- /dev/null
+++ b/account/exchange.go
@@ -0,0 +1,269 @@
+package account
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// tellEvery is how often a node tells of accounts that are near their
+	// limits, and a collector tells the other data centres'. An account that
+	// is asked for five times its rate must be known everywhere within a second.
+	tellEvery = 150 * time.Millisecond
+	// calmEvery is how often a node tells otherwise.
+	calmEvery = time.Second
+	// tellTime is how long the answer to a report may take.
+	tellTime = 400 * time.Millisecond
+	// aloneAfter is how long nobody must have taken a report for a node to go
+	// by its own share.
+	aloneAfter = 800 * time.Millisecond
+	// passedFor is how long a collector that did not answer is passed over.
+	passedFor = 3 * time.Second
+	// toldKept is how long a node goes on telling after it had usage to tell.
+	toldKept = 10 * time.Second
+)
+
+type (
+	// ExchangeConfig is what an Exchange is built from.
+	ExchangeConfig struct {
+		Self Source // this node
+		DC   Source // its data centre
+		// Book returns the accounts in force; nil for none.
+		Book func() *Book
+		// Nodes returns the addresses of those that collect usage: in this data
+		// centre in the order in which they are to be asked, this one may be
+		// among them, and the same for each other. total is how many nodes there
+		// are.
+		Nodes func() (own []Source, others [][]Source, total int)
+		// Tell hands a report to a node and returns its answer.
+		Tell func(ctx context.Context, at Source, r Report) ([]Standing, error)
+		// Failed is told of each report that a node did not take.
+		Failed func(at Source, err error)
+	}
+
+	// Exchange keeps a node's Limiter up to date: it tells one collector of its
+	// data centre what was let in here, and learns what is left. A collector
+	// adds up what the nodes of its data centre tell, and tells the others'.
+	// It is safe for concurrent use.
+	Exchange struct {
+		cfg     ExchangeConfig
+		limiter *Limiter
+		tally   *Tally
+
+		// Only Run's goroutine uses these.
+		reported time.Time // when this node last told
+		had      time.Time // when it last had usage to tell
+		failing  time.Time // since when nobody took a report; zero while one does
+
+		mu       sync.Mutex
+		passed   map[Source]time.Time      // collectors that did not answer, until when
+		gathered map[Source]map[Name]Usage // for each collector elsewhere, since it was told
+		telling  map[Source]bool           // collectors that are being told
+	}
+)
+
+// NewExchange returns an Exchange for a Limiter; Run starts it.
+func NewExchange(cfg ExchangeConfig, l *Limiter) *Exchange {
+	return &Exchange{cfg: cfg, limiter: l, tally: NewTally(), gathered: map[Source]map[Name]Usage{}, telling: map[Source]bool{}, passed: map[Source]time.Time{}}
+}
+
+// Run tells and learns until ctx ends.
+func (x *Exchange) Run(ctx context.Context) {
+	go x.each(ctx, func(b *Book) {
+		own, others, _ := x.cfg.Nodes()
+		x.gather(x.tally.Charged(b))
+		x.tellOn(ctx, own, others)
+	})
+	x.each(ctx, func(b *Book) {
+		own, _, total := x.cfg.Nodes()
+		if total > 0 {
+			x.limiter.Among(total)
+		}
+		x.report(ctx, b, own)
+	})
+}
+
+// each calls f every tellEvery while there are accounts, until ctx ends.
+func (x *Exchange) each(ctx context.Context, f func(*Book)) {
+	t := time.NewTicker(tellEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if b := x.cfg.Book(); b != nil {
+			f(b)
+		}
+	}
+}
+
+// Take takes in what a node tells, and answers it.
+func (x *Exchange) Take(r Report) []Standing {
+	book := x.cfg.Book()
+	if book == nil {
+		return nil
+	}
+	of := x.tally.Add(book, r)
+	if r.Gathered {
+		return nil
+	}
+	x.gather(r.Usage)
+	return of
+}
+
+// report tells a collector what this node let in.
+func (x *Exchange) report(ctx context.Context, book *Book, own []Source) {
+	since := time.Since(x.reported)
+	if since < calmEvery-tellEvery/2 && x.failing.IsZero() && !x.limiter.Pressed(since) {
+		return
+	}
+	us := x.limiter.Report()
+	if len(us) > 0 {
+		x.had = time.Now()
+	}
+	if time.Since(x.had) > toldKept {
+		return
+	}
+	x.reported = time.Now()
+	r := Report{From: x.cfg.Self, Usage: us}
+	at, ok := x.first(own)
+	if !ok {
+		x.limiter.Untold(us)
+		x.failed(book)
+		return
+	}
+	if at == x.cfg.Self {
+		x.learnt(book, x.Take(r))
+		return
+	}
+	tctx, cancel := context.WithTimeout(ctx, tellTime)
+	defer cancel()
+	of, err := x.cfg.Tell(tctx, at, r)
+	if err == nil {
+		x.learnt(book, of)
+		return
+	}
+	x.limiter.Untold(us)
+	x.passOver(at, err)
+	x.failed(book)
+}
+
+func (x *Exchange) learnt(book *Book, of []Standing) {
+	x.failing = time.Time{}
+	x.limiter.Learn(book, of)
+}
+
+// failed notes that nobody took a report.
+func (x *Exchange) failed(book *Book) {
+	if x.failing.IsZero() {
+		x.failing = time.Now()
+	}
+	if time.Since(x.failing) >= aloneAfter {
+		x.limiter.Alone(book)
+	}
+}
+
+// gather adds what nodes told to what the collectors elsewhere are to know.
+func (x *Exchange) gather(us []Usage) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, all := range x.gathered {
+		for _, u := range us {
+			sum := all[u.Account]
+			all[u.Account] = Usage{Account: u.Account, Asked: sum.Asked + u.Asked, Admitted: sum.Admitted + u.Admitted}
+		}
+	}
+}
+
+// tellOn tells collectors elsewhere what this one gathered, and one of its own
+// data centre that others may ask in its place.
+func (x *Exchange) tellOn(ctx context.Context, own []Source, others [][]Source) {
+	mine, ok := x.first(own)
+	collects := ok && mine == x.cfg.Self
+	var to []Source
+	if ok && !collects {
+		to = append(to, mine)
+	}
+	for _, dc := range others {
+		if at, ok := x.first(dc); ok {
+			to = append(to, at)
+		}
+	}
+	for at, us := range x.swap(to) {
+		if len(us) == 0 && !collects {
+			x.done(at)
+			continue
+		}
+		go x.tellGathered(ctx, at, us)
+	}
+}
+
+// tellGathered tells one collector. What one that is cut off was not told is
+// dropped: it keeps this data centre's share from its own nodes meanwhile, and
+// what was let in long ago would be taken off a second time.
+func (x *Exchange) tellGathered(ctx context.Context, at Source, us []Usage) {
+	defer x.done(at)
+	ctx, cancel := context.WithTimeout(ctx, tellTime)
+	defer cancel()
+	if _, err := x.cfg.Tell(ctx, at, Report{From: x.cfg.DC, Gathered: true, Usage: us}); err != nil {
+		x.passOver(at, err)
+	}
+}
+
+// done notes that a collector may be told again.
+func (x *Exchange) done(at Source) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.telling, at)
+}
+
+// first is the first of some collectors that is not passed over, or the first
+// of all.
+func (x *Exchange) first(of []Source) (at Source, ok bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	for _, at := range of {
+		if !x.passed[at].After(now) {
+			return at, true
+		}
+	}
+	if len(of) == 0 {
+		return "", false
+	}
+	return of[0], true
+}
+
+// passOver lets another collector take the place of one for a while.
+func (x *Exchange) passOver(at Source, err error) {
+	x.cfg.Failed(at, err)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.passed[at] = time.Now().Add(passedFor)
+}
+
+// swap takes what was gathered for each of some collectors that is not being
+// told.
+func (x *Exchange) swap(others []Source) map[Source][]Usage {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := make(map[Source][]Usage, len(others))
+	next := make(map[Source]map[Name]Usage, len(others))
+	for _, at := range others {
+		if x.telling[at] {
+			next[at] = x.gathered[at]
+			continue
+		}
+		us := make([]Usage, 0, len(x.gathered[at]))
+		for _, u := range x.gathered[at] {
+			us = append(us, u)
+		}
+		out[at], next[at] = us, map[Name]Usage{}
+		x.telling[at] = true
+	}
+	x.gathered = next
+	return out
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -287,3 +287,16 @@
 		m.dir.Learn(x)
 	}
 }
+
+// Collectors are the first nodes of this data centre's, and of each other's, that
+// are to read for it and then in their place, and how many nodes there are in all.
+func (m *Member) Collectors() (own []Addr, others [][]Addr, total int) {
+	r := m.roster()
+	for _, dc := range r.others(m.cfg.DC) {
+		others = append(others, r.first(dc))
+	}
+	for _, all := range r.nodes {
+		total += len(all)
+	}
+	return r.first(m.cfg.DC), others, total
+}
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -19,6 +19,9 @@
 	// leastReaders is how many a data centre has at least, so that one that is
 	// frozen, cut off from the source or killed leaves another.
 	leastReaders = 2
+	// firstNodes is how many nodes of a data centre others turn to, one after
+	// the other, for what any of them can answer.
+	firstNodes = 3
 )
 
 type (
@@ -79,6 +82,12 @@
 	return out
 }
 
+// first are the nodes of a data centre that others turn to first.
+func (r *roster) first(dc callgraph.DC) []Addr {
+	all := r.nodes[dc]
+	return all[:min(len(all), firstNodes)]
+}
+
 // total is how many readers all data centres have.
 func (r *roster) total() int {
 	n := 0
--- a/sidecar/account.go
+++ b/sidecar/account.go
@@ -57,3 +57,23 @@
 	}
 	return append(fs, call.Field{Name: n.cfg.Headers.Account, Value: string(a.Name)})
 }
+
+// withinLimit refuses a request of an account that has sent all that it may.
+func (n *Node) withinLimit(a *account.Account) *refusal {
+	if !n.cfg.Policies.Limits {
+		return nil
+	}
+	ok, after := n.limiter.Take(a)
+	if ok {
+		return nil
+	}
+	return &refusal{code: http.StatusTooManyRequests, cause: causeLimit, after: after, account: a, why: "account is over its rate limit"}
+}
+
+// nameOf is an account's name; empty for none.
+func nameOf(a *account.Account) account.Name {
+	if a == nil {
+		return ""
+	}
+	return a.Name
+}
--- a/sidecar/account_test.go
+++ b/sidecar/account_test.go
@@ -155,7 +155,7 @@
 		return admit.Squeeze(r, of)
 	}
 	Convey("First by account, then by route; callers without one come with the last", t, func() {
-		const read, publish, open, lookup = 0, 1, 2, 3
+		const read, publish, lookup, open = 0, 1, 2, 3
 		order := []int{rank(&small, publish), rank(&small, lookup), rank(&small, read), rank(&large, publish), rank(&large, lookup), rank(&large, read)}
 		So(order, ShouldResemble, []int{0, 1, 2, 3, 4, 5})
 		So(rank(nil, open), ShouldEqual, rank(&large, read))
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -65,6 +65,9 @@
 // account notes how a request ended; left says that its caller did not wait.
 func (n *Node) account(q *request, a call.Answer, left bool) {
 	took := time.Since(q.entered)
+	if a.Status == call.NotRun {
+		n.limiter.Return(q.account)
+	}
 	n.stats.answered(q.route, q.Service, a.Status, took)
 	var scarce time.Duration
 	if a.Load != nil {
@@ -113,12 +116,19 @@
 			return nil, no
 		}
 		n.place(&from, routes, rt, id)
+		if no := n.withinLimit(from.account); no != nil {
+			return nil, no
+		}
 		if no := n.admitNew(rt, from.level, left); no != nil {
+			n.limiter.Return(from.account)
+			no.account = from.account
 			return nil, no
 		}
 	}
 	body, no := n.readBody(w, r, routes.Limits.BodyBytes, entered.Add(left))
 	if no != nil {
+		n.limiter.Return(from.account)
+		no.account = from.account
 		return nil, no
 	}
 	q := &request{route: rt, entered: entered, deadline: entered.Add(left), account: from.account, rank: from.rank}
@@ -227,16 +237,18 @@
 	cause cause
 	after time.Duration // when to come back; 0 for no use in it
 	why   string
+	// account is whose request it was; nil for none, or where it is not known.
+	account *account.Account
 }
 
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, f *refusal) {
 	id := r.Header.Get(n.cfg.Headers.RequestID)
-	n.stats.refused(f.cause)
+	n.stats.refused(f.cause, f.account)
 	if f.code == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", n.cfg.Headers.KeyScheme)
 	}
 	n.note.Note("request_refused", func() log.Fields {
-		return log.Fields{"id": id, "code": f.code, "why": f.why, "come_back_ms": f.after.Milliseconds(), "routes": n.version(), "path": r.URL.Path}
+		return log.Fields{"id": id, "code": f.code, "cause": f.cause, "account": nameOf(f.account), "why": f.why, "come_back_ms": f.after.Milliseconds(), "routes": n.version(), "path": r.URL.Path}
 	})
 	writeOwn(w, n.cfg.Headers, call.RequestID(id), f.code, f.after, f.why)
 }
--- a/sidecar/fake_test.go
+++ b/sidecar/fake_test.go
@@ -164,8 +164,8 @@
 var testRoutes = []directory.Route{
 	{Name: "read", Host: "h", Prefix: "/read/", Idempotent: true, MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Priority: 2, Shares: []directory.Share{{Service: "archiv", Weight: 1}}},
 	{Name: "publish", Host: "h", Prefix: "/publish/", MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Shares: []directory.Share{{Service: "archiv", Weight: 1}}},
-	{Name: "open", Host: "h", Prefix: "/open/", Idempotent: true, MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Priority: 2, Public: true, Shares: []directory.Share{{Service: "archiv", Weight: 1}}},
 	{Name: "lookup", Host: "h", Prefix: "/lookup/", Idempotent: true, MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Priority: 1, Shares: []directory.Share{{Service: "versand", Weight: 1}}},
+	{Name: "open", Host: "h", Prefix: "/open/", Idempotent: true, MaxInstances: 2, Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Priority: 2, Public: true, Shares: []directory.Share{{Service: "archiv", Weight: 1}}},
 }
 
 // newMesh starts a node and target for each service named, all of which know
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -45,7 +45,7 @@
 // final answer. ctx ends at the request's deadline or when its caller leaves.
 func (n *Node) forward(ctx context.Context, q *request) call.Answer {
 	if q.kept.stage == quarantine.Quarantined {
-		n.stats.refused(causeQuarantine)
+		n.stats.refused(causeQuarantine, q.account)
 		return n.hold(q.Request, q.kept)
 	}
 	if q.HTTP.Repeat {
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -12,6 +12,9 @@
 func (n *Node) learn(v *directory.View) {
 	n.balancer.Keep(v)
 	n.askAfter(v)
+	if b := n.accounts(); b != nil {
+		n.limiter.Keep(b)
+	}
 	in, ok := v.At(n.cfg.Target)
 	if !ok {
 		n.self.Store(nil)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/balance"
 	"github.com/oatpin/oatpin/budget"
@@ -103,6 +104,8 @@
 		lane      *quarantine.Lane // to the local target
 		telling   telling          // other nodes, what the book has of the local target's ends
 		heard     heard            // what other nodes' books have told
+		limiter   *account.Limiter
+		exchange  *account.Exchange // of what is let in of accounts
 		member    *membership.Member
 		target    *targetconn.Pool
 		peers     *wire.Pool
@@ -172,6 +175,8 @@
 	}
 	n.staying, n.leave = context.WithCancel(context.Background())
 	n.member = membership.New(n.membership(self))
+	n.limiter = account.NewLimiter()
+	n.exchange = n.newExchange()
 	n.book = quarantine.NewBook(quarantine.Config{Off: !cfg.Policies.Quarantine, Log: cfg.Log})
 	n.witness = vouch.NewWitness(vouch.Config{Listed: n.listed, Probe: n.probe, SourceLost: n.dir.SourceLost})
 	byLoad := cfg.Policies.admission(n.board)
@@ -247,6 +252,7 @@
 func (n *Node) learnUntilStop() {
 	ctx, cancel := context.WithCancel(context.Background())
 	go n.member.Run(ctx)
+	go n.exchange.Run(ctx)
 	<-n.stop
 	cancel()
 }
--- a/sidecar/policies.go
+++ b/sidecar/policies.go
@@ -33,6 +33,7 @@
 	Doubt       bool `ini:"doubt"`        // entries missing after an outage are kept for a while
 	Suspicion   bool `ini:"suspicion"`    // peers that answer no ping are passed over
 	Spread      bool `ini:"spread"`       // watches after a change are spread
+	Limits      bool `ini:"limits"`       // accounts are held to their rate limits
 	Readers     bool `ini:"readers"`      // few nodes read the source, and the others learn from them
 	ServePeers  bool `ini:"serve_peers"`  // a stopping node serves peers for a while
 	DecisionLog bool `ini:"decision_log"` // decisions are logged
@@ -42,7 +43,7 @@
 func Usual() Policies {
 	return Policies{Thresholds: true, Prospects: true, Costs: true, Parts: true, Pace: true, Patience: true, ComeBack: true,
 		Repeats: true, Told: true, Speed: true, Tight: true, Explore: true, Sample: true, Vouch: true, Quarantine: true, Doubt: true, Suspicion: true,
-		Spread: true, Readers: true, ServePeers: true, DecisionLog: true}
+		Spread: true, Limits: true, Readers: true, ServePeers: true, DecisionLog: true}
 }
 
 // choose returns one of two policies.
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -50,6 +50,8 @@
 		return n.serveVouch(ctx, r)
 	case endsOperation:
 		return n.serveEnds(r)
+	case usageOperation:
+		return n.serveUsage(r)
 	}
 	return call.Refuse(r, "not a request by route", 0)
 }
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
 	"github.com/oatpin/oatpin/membership"
@@ -21,6 +22,7 @@
 	causeLeaving  cause = "leaving"    // the node is stopping
 	causeRequest  cause = "bad_header" // a header is missing or malformed
 	causeKey      cause = "key"        // no account known here holds the key
+	causeLimit    cause = "limit"      // its account has sent all it may
 	causeBody     cause = "body"       // too large, too slow, cut, or no memory for it
 	// causeQuarantine is that instances ended under the request.
 	causeQuarantine cause = "quarantine"
@@ -38,7 +40,7 @@
 		tries    byKey[tryKey, *metrics.Histogram]
 		waits    byKey[waitKey, *metrics.Histogram]
 		repeats  byKey[string, *metrics.Counter]
-		refusals byKey[cause, *metrics.Counter]
+		refusals byKey[refusalKey, *metrics.Counter]
 	}
 
 	requestKey struct {
@@ -47,6 +49,11 @@
 		status         call.Status
 	}
 
+	refusalKey struct {
+		cause   cause
+		account account.Name // empty for none
+	}
+
 	tryKey struct {
 		service string
 		status  call.Status
@@ -127,9 +134,10 @@
 }
 
 // refused counts one request refused before any work.
-func (s *stats) refused(c cause) {
-	s.refusals.get(c, func() *metrics.Counter {
-		return s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_refused_total{node=%q,cause=%q}`, s.node, c))
+func (s *stats) refused(c cause, of *account.Account) {
+	k := refusalKey{cause: c, account: nameOf(of)}
+	s.refusals.get(k, func() *metrics.Counter {
+		return s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_refused_total{node=%q,cause=%q,account=%q}`, s.node, k.cause, k.account))
 	}).Inc()
 }
 
