--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -5,7 +5,6 @@
 	"os"
 	"os/signal"
 	"reflect"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/apex/log"
@@ -18,15 +17,9 @@
 	"github.com/urfave/cli/v2"
 )
 
-const (
-	// bodyShare is the part of a process's memory that callers' bodies may take:
-	// each is held once or twice more on its way.
-	bodyShare = 8
-	gcPercent = 200
-	// memoryShare is the part of a process's memory above which garbage is
-	// collected without delay.
-	memoryShare = 2
-)
+// bodyShare is the part of a process's memory that callers' bodies may take:
+// each is held once or twice more on its way.
+const bodyShare = 8
 
 var sidecarCommand = &cli.Command{
 	Name:  "sidecar",
@@ -38,7 +31,6 @@
 		if err != nil {
 			return err
 		}
-		boundMemory(s.MemoryMB)
 		out := timeline.NewAsync(os.Stdout)
 		defer out.Close()
 		lg := (&log.Logger{Handler: out, Level: log.InfoLevel}).WithField("process", s.Name)
@@ -63,14 +55,6 @@
 	},
 }
 
-// boundMemory lets garbage wait until there is gcPercent of what is in use, as
-// a node has little in use and makes much that is not for long; near the bound
-// of the process it is collected sooner.
-func boundMemory(megabytes int) {
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(megabytes) << 20 / memoryShare)
-}
-
 func loadSidecar(path string) (settings.Sidecar, error) {
 	s := settings.NewSidecar()
 	err := settings.Load(path, "sidecar", &s)
