Read no list longer than its message

What would be seen: a node ends, out of memory, when a peer's message is half of one or none: nine bytes can say that a list of two billion elements follows.

Cause: the codec takes the memory for all elements of a slice at once; its bound on that is never in force, as it compares the flag that switches it off with the wrong value. Ruled out: the codec's own option, which sets the same flag.

message.List reads one element after the other and ends with the message. All lists that nodes send each other are read with it, nested ones too.

--- a/account/book.go
+++ b/account/book.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 
+	"github.com/oatpin/oatpin/message"
 	"github.com/rotisserie/eris"
 )
 
@@ -23,7 +24,7 @@
 	// Account is one client account.
 	Account struct {
 		Name     Name
-		Keys     []Digest
+		Keys     message.List[Digest]
 		Priority int     // 0 is refused last; goes before a route's
 		Rate     float64 // requests a second over all nodes; 0 for no limit
 		Burst    float64 // requests beyond that at once
--- a/account/usage.go
+++ b/account/usage.go
@@ -57,7 +57,7 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *Report) DecodeMsgpack(d *msgpack.Decoder) error {
 	*r = Report{}
-	return message.Decode(d, (*string)(&r.From), &r.Gathered, &r.Usage)
+	return message.Decode(d, (*string)(&r.From), &r.Gathered, (*message.List[Usage])(&r.Usage))
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
@@ -69,5 +69,5 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (s *Standings) DecodeMsgpack(d *msgpack.Decoder) error {
 	*s = Standings{}
-	return message.Decode(d, &s.Of)
+	return message.Decode(d, (*message.List[Standing])(&s.Of))
 }
--- /dev/null
+++ b/account/usage_test.go
@@ -0,0 +1,50 @@
+package account
+
+import (
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// FuzzReport: whatever another node tells, it is not read or is counted, and its
+// answer can be read.
+func FuzzReport(f *testing.F) {
+	b, err := msgpack.Marshal(Report{From: "dc1", Gathered: true, Usage: []Usage{{Account: "a", Asked: 3, Admitted: 2}, {Account: "b", Admitted: -1}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	book, err := NewBook([]Account{{Name: "a", Rate: 5, Burst: 5}, {Name: "b"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var r Report
+		if msgpack.Unmarshal(b, &r) != nil {
+			return
+		}
+		of := NewTally().Add(book, r)
+		out, err := msgpack.Marshal(Standings{Of: of})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got Standings
+		if err := msgpack.Unmarshal(out, &got); err != nil || len(got.Of) != len(of) {
+			t.Fatal(got, err)
+		}
+	})
+}
+
+// BenchmarkTake is the decision on one request, of one account in a thousand.
+func BenchmarkTake(b *testing.B) {
+	l := NewLimiter()
+	all := make([]Account, 1000)
+	for i := range all {
+		all[i] = Account{Name: Name(string(rune('a'+i%26)) + string(rune(0x4e00+i))), Rate: 1e9, Burst: 1e9}
+		l.Take(&all[i])
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		l.Take(&all[i%len(all)])
+	}
+}
--- a/call/decode.go
+++ b/call/decode.go
@@ -18,7 +18,7 @@
 		return d.Decode((*namedRequest)(r))
 	}
 	return message.Decode(d, (*string)(&r.ID), &r.Service, &r.Operation, (*string)(&r.Key), &r.Remaining, &r.To, &r.Sent,
-		&r.Budget, &r.Passed, &r.Body, &r.HTTP)
+		&r.Budget, (*message.List[string])(&r.Passed), &r.Body, &r.HTTP)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
@@ -46,14 +46,14 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *HTTPRequest) DecodeMsgpack(d *msgpack.Decoder) error {
 	*r = HTTPRequest{}
-	return message.Decode(d, &r.Method, &r.Host, &r.URI, &r.Header, &r.Caller, (*uint16)(&r.Level), &r.Begun, &r.Repeat,
+	return message.Decode(d, &r.Method, &r.Host, &r.URI, (*message.List[Field])(&r.Header), &r.Caller, (*uint16)(&r.Level), &r.Begun, &r.Repeat,
 		&r.Idempotent, &r.Patience)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (a *HTTPAnswer) DecodeMsgpack(d *msgpack.Decoder) error {
 	*a = HTTPAnswer{}
-	return message.Decode(d, &a.Code, &a.Header)
+	return message.Decode(d, &a.Code, (*message.List[Field])(&a.Header))
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/directory/codec.go
+++ b/directory/codec.go
@@ -13,18 +13,18 @@
 type (
 	// encoded is a Delta between nodes.
 	encoded struct {
-		After     Revision          `msgpack:"after"`
-		Revision  Revision          `msgpack:"revision"`
-		Age       time.Duration     `msgpack:"age"`
-		Version   callgraph.Version `msgpack:"version"` // 0 without routes
-		Limits    Limits            `msgpack:"limits"`
-		Services  []Service         `msgpack:"services"`
-		Routes    []Route           `msgpack:"routes"`
-		Instances []entry           `msgpack:"instances"`
-		Gone      []Removal         `msgpack:"gone"`
+		After     Revision              `msgpack:"after"`
+		Revision  Revision              `msgpack:"revision"`
+		Age       time.Duration         `msgpack:"age"`
+		Version   callgraph.Version     `msgpack:"version"` // 0 without routes
+		Limits    Limits                `msgpack:"limits"`
+		Services  message.List[Service] `msgpack:"services"`
+		Routes    message.List[Route]   `msgpack:"routes"`
+		Instances message.List[entry]   `msgpack:"instances"`
+		Gone      message.List[Removal] `msgpack:"gone"`
 		// Accounted says that callers need one of the accounts.
-		Accounted bool              `msgpack:"accounted,omitempty"`
-		Accounts  []account.Account `msgpack:"accounts,omitempty"`
+		Accounted bool                          `msgpack:"accounted,omitempty"`
+		Accounts  message.List[account.Account] `msgpack:"accounts,omitempty"`
 	}
 
 	// entry is an Instance as listed; its fields go by their place, which
--- a/directory/routes.go
+++ b/directory/routes.go
@@ -10,6 +10,7 @@
 
 	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/oatpin/oatpin/message"
 	"github.com/rotisserie/eris"
 )
 
@@ -33,7 +34,7 @@
 		Name       string
 		Host       string
 		Prefix     string // begins and ends with a slash
-		Shares     []Share
+		Shares     message.List[Share]
 		Idempotent bool
 		// Timeout is the longest time a caller is kept waiting; zero for
 		// as long as the caller says.
--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -108,3 +108,19 @@
 		So(errors.Is(err, ErrInvalidRoutes), ShouldBeTrue)
 	})
 }
+
+// A route says that it has two billion shares, or an account as many keys, and
+// the message ends there.
+func TestNestedListsAreNoLongerThanTheirMessage(t *testing.T) {
+	many := []byte{0xdd, 0x7f, 0xff, 0xff, 0xff}
+	for _, c := range []struct{ name, list, field string }{{"shares", "routes", "Shares"}, {"keys", "accounts", "Keys"}} {
+		Convey("Of "+c.name, t, func() {
+			b := []byte{0x81, byte(0xa0 + len(c.list))}
+			b = append(b, c.list...)
+			b = append(b, 0x91, 0x81, byte(0xa0+len(c.field)))
+			b = append(b, c.field...)
+			_, err := Decode(append(b, many...))
+			So(err, ShouldNotBeNil)
+		})
+	}
+}
--- a/message/decode_test.go
+++ b/message/decode_test.go
@@ -65,3 +65,18 @@
 		So(Named(msgpack.NewDecoder(bytes.NewReader(nil))), ShouldBeFalse)
 	})
 }
+
+// A message says that a list of two billion elements follows, and ends. That is
+// an error and no reason to run out of memory.
+func TestAListIsNoLongerThanItsMessage(t *testing.T) {
+	Convey("It is read as far as it goes", t, func() {
+		var l List[string]
+		So(msgpack.Unmarshal([]byte{0xdd, 0x7f, 0xff, 0xff, 0xff, 0xa1, 'a'}, &l), ShouldNotBeNil)
+		b, err := msgpack.Marshal([]string{"a", "b"})
+		So(err, ShouldBeNil)
+		So(msgpack.Unmarshal(b, &l), ShouldBeNil)
+		So(l, ShouldResemble, List[string]{"a", "b"})
+		So(msgpack.Unmarshal([]byte{0xc0}, &l), ShouldBeNil)
+		So(l, ShouldBeNil)
+	})
+}
--- a/quarantine/decode.go
+++ b/quarantine/decode.go
@@ -14,13 +14,13 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *Report) DecodeMsgpack(d *msgpack.Decoder) error {
 	*r = Report{}
-	return message.Decode(d, &r.Next, &r.Records)
+	return message.Decode(d, &r.Next, (*message.List[Record])(&r.Records))
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *Record) DecodeMsgpack(d *msgpack.Decoder) error {
 	*r = Record{}
-	return message.Decode(d, (*uint64)(&r.Of), &r.Ends, &r.Sound, &r.Age)
+	return message.Decode(d, (*uint64)(&r.Of), (*message.List[End])(&r.Ends), (*message.List[Caller])(&r.Sound), &r.Age)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/sidecar/account_test.go
+++ b/sidecar/account_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -197,3 +198,70 @@
 	}
 	return resp.StatusCode, f.last.Header
 }
+
+// An account sends more than it may. What is over is refused at the entry, with
+// when there will be room, and is told from a refusal for overload; what did not
+// run for another reason is not counted against it.
+func TestAnAccountOverItsLimitIsRefused(t *testing.T) {
+	m := newMesh(t, "entwurf", "archiv")
+	n := m.vms[0]
+	limited := account.Account{Name: "limited", Keys: []account.Digest{account.DigestOf("k")}, Rate: 4, Burst: 2}
+	m.accounts = book(t, limited, small)
+	m.tellAll(2)
+	send := func(key string) (string, reply) {
+		return m.send(context.Background(), n, http.MethodGet, "/read/x", "", map[string]string{"Authorization": "Key " + key})
+	}
+	Convey("429 with Retry-After, and it does not run", t, func() {
+		ran, refused := 0, 0
+		for range 40 {
+			id, got := send("k")
+			if got.code == http.StatusOK {
+				ran++
+				continue
+			}
+			refused++
+			So(got.code, ShouldEqual, http.StatusTooManyRequests)
+			after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+			So(err, ShouldBeNil)
+			So(after, ShouldBeBetween, 0, 5.1)
+			So(m.vms[1].target.runs(id), ShouldEqual, 0)
+		}
+		So(ran, ShouldBeBetween, 1, 20)
+		So(refused, ShouldBeGreaterThan, 10)
+		_, got := send("ks")
+		So(got.code, ShouldEqual, http.StatusOK)
+	})
+	Convey("What is refused for overload is given back", t, func() {
+		n.node.limiter.Keep(book(t, small)) // forgets what was taken
+		n.node.admission = nobody{}
+		for range 40 {
+			_, got := send("k")
+			So(got.code, ShouldEqual, http.StatusServiceUnavailable)
+		}
+		n.node.admission = admit.Everyone{}
+		_, got := send("k")
+		So(got.code, ShouldEqual, http.StatusOK)
+	})
+}
+
+// Requests of one account come in at two nodes. Each must hear of what the other
+// let in, or both let in the whole limit.
+func TestNodesTellEachOtherWhatTheyLetIn(t *testing.T) {
+	m := newMesh(t, "archiv", "archiv")
+	limited := account.Account{Name: "limited", Keys: []account.Digest{account.DigestOf("k")}, Rate: 40, Burst: 40}
+	m.accounts = book(t, limited)
+	m.tellAll(2)
+	Convey("Together they let in what it may, and a little more", t, func() {
+		ran, began := 0, time.Now()
+		for i := 0; time.Since(began) < 3*time.Second; i++ {
+			_, got := m.send(context.Background(), m.vms[i%2], http.MethodGet, "/read/x", "", map[string]string{"Authorization": "Key k"})
+			if got.code == http.StatusOK {
+				ran++
+			}
+			time.Sleep(4 * time.Millisecond)
+		}
+		// The rate, the burst and the quarter that operators allow besides; two
+		// nodes that know nothing of each other let in twice the rate.
+		So(ran, ShouldBeBetween, 90, int(1.25*(3*40+40)))
+	})
+}
