--- a/sidecar/catchup.go
+++ b/sidecar/catchup.go
@@ -110,9 +110,7 @@
 
 // dial returns the connection to a peer, for a question of this node's own.
 func (n *Node) dial(ctx context.Context, p wire.Peer) (*wire.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialPatience)
-	defer cancel()
-	return n.peers.Get(ctx, p)
+	return n.peers.GetWithin(ctx, p, dialPatience)
 }
 
 // serveSince answers another node's question about the directory, at once
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -172,9 +172,7 @@
 	// A connection can close between Get and Call, before anything is
 	// written; the second Get dials anew.
 	for range 2 {
-		dctx, cancel := context.WithTimeout(ctx, dialPatience)
-		conn, err := n.peers.Get(dctx, peer)
-		cancel()
+		conn, err := n.peers.GetWithin(ctx, peer, dialPatience)
 		if err != nil {
 			return call.Refuse(r, "node unreachable: "+err.Error(), 0), false
 		}
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -62,6 +62,26 @@
 	return &Pool{cfg: cfg, conns: map[string]*Conn{}, dials: map[string]*dial{}, failed: map[string]bool{}}
 }
 
+// GetWithin is Get with a bound on the wait; one that is open costs no timer.
+func (p *Pool) GetWithin(ctx context.Context, peer Peer, wait time.Duration) (*Conn, error) {
+	if c := p.openTo(peer.Addr); c != nil && !c.Suspect() {
+		return c, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return p.Get(ctx, peer)
+}
+
+// openTo returns the open connection to an address; nil for none.
+func (p *Pool) openTo(addr string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[addr]; c != nil && c.Err() == nil {
+		return c
+	}
+	return nil
+}
+
 // Get returns the open connection to a peer, dialling one if there is none or
 // the last one closed; a silent peer is ErrSuspect. Calls that come together share one
 // dial: a hundred at once would only hold up a peer that is coming back. If
