Set the bound on writes to a peer four times a second instead of for each frame

Setting a deadline takes a lock of the poller and moves a timer, twice a call at each node. A write that blocks has three quarters of a second to a whole one.

--- a/wire/writer.go
+++ b/wire/writer.go
@@ -15,6 +15,10 @@
 // past its deadline. Past this the connection is closed.
 const writeTimeout = time.Second
 
+// renewAfter is how old a write's bound may be to hold for the next write too:
+// setting it takes as long as encoding a small frame.
+const renewAfter = writeTimeout / 4
+
 // frameWriter writes frames from many goroutines to one connection. A
 // writer that sees another waiting leaves the flush to it, so frames that
 // come together share one system call; the last one always flushes.
@@ -22,6 +26,7 @@
 	nc     net.Conn
 	queued atomic.Int32  // writers that hold or wait for lock
 	lock   chan struct{} // of one token; guards w and enc. Not a mutex: synctest's clock stands still while one is waited for
+	bound  time.Time     // when the writes' bound was last set
 	w      *bufio.Writer
 	enc    *msgpack.Encoder
 }
@@ -37,7 +42,10 @@
 	fw.queued.Add(1)
 	fw.lock <- struct{}{}
 	defer func() { <-fw.lock }()
-	fw.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if now := time.Now(); now.Sub(fw.bound) >= renewAfter {
+		fw.bound = now
+		fw.nc.SetWriteDeadline(now.Add(writeTimeout))
+	}
 	err := fw.enc.Encode(&f)
 	others := fw.queued.Add(-1)
 	if err != nil {
