--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -1,28 +1,15 @@
 package directory
 
 import (
-	"encoding/hex"
 	"errors"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/oatpin/oatpin/account"
+	"github.com/oatpin/oatpin/message/messagetest"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-func formerDelta(t testing.TB) []byte {
-	text, err := os.ReadFile("testdata/former/delta.hex")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b, err := hex.DecodeString(string(text))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return b
-}
-
 // sentDelta is what testdata/former/delta.hex has from the version before.
 func sentDelta(t testing.TB) Delta {
 	r, err := NewRoutes(42, Limits{HeaderBytes: 1, BodyBytes: 2, HeaderTimeout: time.Second, IdleTimeout: time.Minute}, []Route{
@@ -42,19 +29,19 @@
 func TestDeltasOfTheVersionBeforeAreOurs(t *testing.T) {
 	Convey("Its delta is read whole, and ours is the same to it", t, func() {
 		want := sentDelta(t)
-		got, err := Decode(formerDelta(t))
+		got, err := Decode(messagetest.Former(t, "delta"))
 		So(err, ShouldBeNil)
 		got.Instances[0].ColdTill = got.Instances[0].ColdTill.UTC()
 		So(got, ShouldResemble, want)
 		ours, err := Encode(want)
 		So(err, ShouldBeNil)
-		So(ours, ShouldResemble, formerDelta(t))
+		So(ours, ShouldResemble, messagetest.Former(t, "delta"))
 	})
 }
 
 // FuzzDelta: whatever another node tells, it is an error or can be told on.
 func FuzzDelta(f *testing.F) {
-	f.Add(formerDelta(f))
+	f.Add(messagetest.Former(f, "delta"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		x, err := Decode(b)
 		if err != nil {
--- a/quarantine/versions_test.go
+++ b/quarantine/versions_test.go
@@ -1,11 +1,10 @@
 package quarantine
 
 import (
-	"encoding/hex"
-	"os"
 	"testing"
 	"time"
 
+	"github.com/oatpin/oatpin/message/messagetest"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -17,35 +16,23 @@
 	{Of: 1 << 50},
 }}
 
-func formerReport(t testing.TB) []byte {
-	text, err := os.ReadFile("testdata/former/report.hex")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b, err := hex.DecodeString(string(text))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return b
-}
-
 // What a node of the version before tells of ended instances counts during an
 // upgrade, and it understands what it is told.
 func TestReportsOfTheVersionBeforeAreOurs(t *testing.T) {
 	Convey("Its report is read whole, and ours is the same to it", t, func() {
 		var got Report
-		So(msgpack.Unmarshal(formerReport(t), &got), ShouldBeNil)
+		So(msgpack.Unmarshal(messagetest.Former(t, "report"), &got), ShouldBeNil)
 		So(got, ShouldResemble, reported)
 		ours, err := msgpack.Marshal(reported)
 		So(err, ShouldBeNil)
-		So(ours, ShouldResemble, formerReport(t))
+		So(ours, ShouldResemble, messagetest.Former(t, "report"))
 	})
 }
 
 // FuzzReport: whatever another node tells, a Book takes it over within its
 // bounds or does not read it.
 func FuzzReport(f *testing.F) {
-	f.Add(formerReport(f))
+	f.Add(messagetest.Former(f, "report"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var got Report
 		if msgpack.Unmarshal(b, &got) != nil {
--- a/sidecar/account.go
+++ b/sidecar/account.go
@@ -22,11 +22,11 @@
 			return a, nil
 		}
 	}
-	_, call := parentID(id)
+	_, isCall := parentID(id)
 	switch {
 	case rt.Public:
 		return nil, nil
-	case call && r.Header[n.cfg.Headers.Key] == nil:
+	case isCall && r.Header[n.cfg.Headers.Key] == nil:
 		// Calls carry no key; this node may have been started anew while the
 		// request ran for which it is made.
 		return nil, &refusal{code: http.StatusServiceUnavailable, cause: causeKey, after: comeBackNoRoutes, why: "call for a request that is not known to run here"}
--- a/sidecar/versions_test.go
+++ b/sidecar/versions_test.go
@@ -1,11 +1,10 @@
 package sidecar
 
 import (
-	"encoding/hex"
-	"os"
 	"testing"
 	"time"
 
+	"github.com/oatpin/oatpin/message/messagetest"
 	"github.com/oatpin/oatpin/quarantine"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
@@ -13,34 +12,22 @@
 
 var asked = question{After: 300, Wait: time.Second, Told: &quarantine.Cursor{Epoch: 1 << 60, Seq: 2}}
 
-func formerQuestion(t testing.TB) []byte {
-	text, err := os.ReadFile("testdata/former/question.hex")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b, err := hex.DecodeString(string(text))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return b
-}
-
 // A node of the version before asks ours for routes and instances, and ours
 // asks it.
 func TestQuestionsOfTheVersionBeforeAreOurs(t *testing.T) {
 	Convey("Its question is read whole, and ours is the same to it", t, func() {
 		var got question
-		So(msgpack.Unmarshal(formerQuestion(t), &got), ShouldBeNil)
+		So(msgpack.Unmarshal(messagetest.Former(t, "question"), &got), ShouldBeNil)
 		So(got, ShouldResemble, asked)
 		ours, err := msgpack.Marshal(asked)
 		So(err, ShouldBeNil)
-		So(ours, ShouldResemble, formerQuestion(t))
+		So(ours, ShouldResemble, messagetest.Former(t, "question"))
 	})
 }
 
 // FuzzQuestion: whatever another node asks is read or is an error.
 func FuzzQuestion(f *testing.F) {
-	f.Add(formerQuestion(f))
+	f.Add(messagetest.Former(f, "question"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var got question
 		if msgpack.Unmarshal(b, &got) != nil {
--- a/wire/versions_test.go
+++ b/wire/versions_test.go
@@ -1,12 +1,11 @@
 package wire
 
 import (
-	"encoding/hex"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/message/messagetest"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -25,23 +24,13 @@
 	"ping": {Kind: KindPing, Stream: 7},
 }
 
-// formerFrame returns the bytes of a frame of the version before.
-func formerFrame(name string) ([]byte, error) {
-	text, err := os.ReadFile("testdata/former/" + name + ".hex")
-	if err != nil {
-		return nil, err
-	}
-	return hex.DecodeString(string(text))
-}
-
 // Half of the nodes run the version before while they are upgraded. It reads
 // frames with exactly its own fields only: a field that it does not know may be
 // sent only when it is set, and what sets it must not be used while it runs.
 func TestFramesOfTheVersionBeforeAreOurs(t *testing.T) {
 	for name, f := range frames {
 		Convey("Its "+name+" is read whole, and ours is the same to it", t, func() {
-			former, err := formerFrame(name)
-			So(err, ShouldBeNil)
+			former := messagetest.Former(t, name)
 			var got Frame
 			So(msgpack.Unmarshal(former, &got), ShouldBeNil)
 			if got.Request != nil {
@@ -59,11 +48,7 @@
 // again as it is, or in an error.
 func FuzzFrame(f *testing.F) {
 	for name := range frames {
-		b, err := formerFrame(name)
-		if err != nil {
-			f.Fatal(err)
-		}
-		f.Add(b)
+		f.Add(messagetest.Former(f, name))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var got Frame
