--- a/wire/frame.go
+++ b/wire/frame.go
@@ -53,15 +53,3 @@
 	}
 	return message.Decode(d, (*uint8)(&f.Kind), (*uint64)(&f.Stream), &f.Request, &f.Answer, &f.Config, &f.From)
 }
-
-// EncodeMsgpack implements msgpack.CustomEncoder.
-func (f *Frame) EncodeMsgpack(e *msgpack.Encoder) error {
-	w := message.NewWriter(e, 6)
-	w.Uint8(uint8(f.Kind))
-	w.Uint64(uint64(f.Stream))
-	message.WriteMessage(&w, f.Request)
-	message.WriteMessage(&w, f.Answer)
-	w.Uint64(f.Config)
-	w.String(f.From)
-	return w.Err()
-}
