Learn what is usual of an account while it is within its limit

A surge that begins beside a cut is seen at once here and not at all on the other side: with its first seconds in the usual demand, each side took the other's share for small (0.35 for two thirds in a trace), and both went on with too much.

--- a/account/tally.go
+++ b/account/tally.go
@@ -90,7 +90,7 @@
 		c.tokens -= float64(u.Admitted)
 		d := c.source(r.From)
 		d.gathered = r.Gathered
-		d.ask(float64(u.Asked), since, now)
+		d.ask(float64(u.Asked), since, now, c.pressed(a))
 		out = append(out, c.standing(a, r.From))
 	}
 	t.quiet(r.From, told, since, now)
@@ -124,7 +124,7 @@
 func (t *Tally) quiet(from Source, told map[Name]bool, since time.Duration, now time.Time) {
 	for name, c := range t.accounts {
 		if d := c.sources[from]; d != nil && !told[name] {
-			d.ask(0, since, now)
+			d.ask(0, since, now, false)
 			if d.rate < 1/silentKept.Seconds() {
 				delete(c.sources, from)
 				delete(c.silent, from)
@@ -165,12 +165,20 @@
 	return d
 }
 
-// ask notes how often a source was asked since it told before.
-func (d *demand) ask(n float64, since time.Duration, now time.Time) {
+// pressed reports whether so many tokens are gone that each source has its share.
+func (c *count) pressed(a *Account) bool { return c.tokens < depth(a)/2 }
+
+// ask notes how often a source was asked since it told before. What is usual is
+// learnt while the account is well within its limit: a surge begins here first and
+// is heard of from elsewhere later, and the shares are to be those from before.
+func (d *demand) ask(n float64, since time.Duration, now time.Time, pressed bool) {
 	since = min(max(since, 50*time.Millisecond), askedSpan)
 	d.rate += (n/since.Seconds() - d.rate) * (1 - math.Exp(-since.Seconds()/askedSpan.Seconds()))
-	d.usual += (n/since.Seconds() - d.usual) * (1 - math.Exp(-since.Seconds()/usualSpan.Seconds()))
 	d.at = now
+	if pressed && d.before > 0 {
+		return
+	}
+	d.usual += (n/since.Seconds() - d.usual) * (1 - math.Exp(-since.Seconds()/usualSpan.Seconds()))
 	if now.Sub(d.marked) >= markEvery {
 		d.before, d.mark, d.marked = d.mark, d.usual, now
 	}
@@ -192,7 +200,7 @@
 			delete(c.sources, s)
 			delete(c.silent, s)
 			continue
-		case gone <= c.patience(d, depth(a)):
+		case gone <= c.patience(a, d):
 			delete(c.silent, s)
 			continue
 		case !known && all > 0:
@@ -219,11 +227,11 @@
 }
 
 // patience is after how long without a word a source counts as cut off.
-func (c *count) patience(d *demand, depth float64) time.Duration {
+func (c *count) patience(a *Account, d *demand) time.Duration {
 	switch {
 	case d.gathered:
 		return gatheredSilent
-	case c.tokens < depth/2:
+	case c.pressed(a):
 		return pressedSilent
 	}
 	return silentAfter
@@ -239,7 +247,7 @@
 		usual += d.before
 	}
 	d, even := c.sources[from], 1/float64(len(c.sources))
-	s := Standing{Account: a.Name, Tokens: float32(c.tokens), Share: float32(part(d.before, usual)), Free: c.tokens >= depth(a)/2}
+	s := Standing{Account: a.Name, Tokens: float32(c.tokens), Share: float32(part(d.before, usual)), Free: !c.pressed(a)}
 	if !s.Free {
 		s.Tokens *= float32(max(part(d.rate, now), even))
 	}
