--- a/account/fleet_test.go
+++ b/account/fleet_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 const (
@@ -45,6 +46,7 @@
 		asked    map[Name]int
 		refused  map[Name]int
 		messages int
+		bytes    int // of their bodies
 	}
 
 	node struct {
@@ -137,10 +139,20 @@
 		return nil, errCut
 	}
 	of := o.x.Take(r)
+	n.f.count(r)
+	n.f.count(Standings{Of: of})
 	wait(wayTime)
 	return of, ctx.Err()
 }
 
+func (f *fleet) count(message any) {
+	b, err := msgpack.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	f.bytes += len(b)
+}
+
 // play lets requests come in for some time.
 func (f *fleet) play(d time.Duration) {
 	for range d / pulse {
@@ -251,7 +263,9 @@
 	inFleets(t, allFleets, func(t *testing.T, f *fleet) {
 		f.play(3 * time.Second)
 		f.forget()
+		messages, bytes := f.messages, f.bytes
 		f.play(20 * time.Second)
+		t.Logf("each node: %.1f messages and %.0f B of bodies a second", float64(f.messages-messages)/20/float64(len(f.nodes)), float64(f.bytes-bytes)/20/float64(len(f.nodes)))
 		Convey("One in a thousand at most", t, func() { So(f.refusedPart(), ShouldBeLessThan, 0.001) })
 	})
 }
