--- a/account/exchange.go
+++ b/account/exchange.go
@@ -86,17 +86,19 @@
 
 // each calls f every tellEvery while there are accounts, until ctx ends.
 func (x *Exchange) each(ctx context.Context, f func(*Book)) {
-	t := time.NewTicker(tellEvery)
-	defer t.Stop()
-	for {
+	for wait := tellEvery; ; {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case <-time.After(wait):
 		}
-		if b := x.cfg.Book(); b != nil {
-			f(b)
+		b := x.cfg.Book()
+		if b == nil {
+			wait = calmEvery // there is nothing to tell
+			continue
 		}
+		wait = tellEvery
+		f(b)
 	}
 }
 
--- a/account/tally.go
+++ b/account/tally.go
@@ -1,6 +1,7 @@
 package account
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -104,6 +105,7 @@
 	defer t.mu.Unlock()
 	var us []Usage
 	now := time.Now()
+	maps.DeleteFunc(t.heard, func(_ Source, at time.Time) bool { return now.Sub(at) > silentKept })
 	for name, c := range t.accounts {
 		a := b.Find(name)
 		if a == nil {
