--- a/account/limiter.go
+++ b/account/limiter.go
@@ -35,26 +35,31 @@
 	// bucket is the node's own part of an account's tokens.
 	bucket struct {
 		tokens float64
-		at     time.Time
-		rate   float64 // at which they grow
-		most   float64 // to which
-		share  float64 // of the rate that is this node's; 0 where it was not told
-		// Since the last report:
-		asked, admitted int32
-		// promised is when the last of the refused callers was told to come.
-		promised time.Time
-		// told says that the account was in the last report, so that the next
-		// says that it is asked for no more.
-		told    bool
-		fair    float64 // this node's share of the rate
-		pressed bool    // the account was near its limit when it was last told
-		free    bool    // nothing is held back
+		at     time.Time // when they were so many
+		rate   float64   // at which they grow
+		most   float64   // to which
+
+		// What a Tally said last, and when; zero before it did.
 		toldAt  time.Time
+		share   float64 // of the account's rate that is this node's
+		fair    float64 // that, in requests a second
+		free    bool    // nothing is held back
+		pressed bool    // the account is near its limit
+
+		// What the next report tells. told says that the account was in the
+		// last one: the next says that it is asked for no more.
+		asked, admitted int32
+		told            bool
+
+		promised time.Time // when the last of the refused callers was told to come
 	}
 )
 
-// NewLimiter returns a Limiter that was told nothing.
-func NewLimiter() *Limiter { return &Limiter{accounts: map[Name]*bucket{}, nodes: 1, alone: true} }
+// NewLimiter returns a Limiter that was told nothing, and goes by an even share
+// until it is: what all nodes let in before they were started anew counts too.
+func NewLimiter() *Limiter {
+	return &Limiter{accounts: map[Name]*bucket{}, nodes: 1, alone: true}
+}
 
 // Take lets a request of an account in, if that is within its limit, or says
 // when there will be room for one.
--- a/account/tally.go
+++ b/account/tally.go
@@ -2,21 +2,11 @@
 
 import (
 	"maps"
-	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// askedSpan is the time that a source's demand is the mean of: a surge
-	// shows within three reports.
-	askedSpan = time.Second
-	// usualSpan is the same for the share of a source that is cut off: a surge
-	// beside the cut must not make it small.
-	usualSpan = 10 * time.Second
-	// markEvery is how old that is at least: longer than it takes to notice the
-	// cut.
-	markEvery = 1500 * time.Millisecond
 	// silentAfter is when a node that has not said that it is done counts as cut
 	// off, and gatheredSilent when a data centre does, which tells more often: it
 	// goes on with its share by itself.
@@ -57,17 +47,6 @@
 		// let in, and the other data centres were not told yet.
 		charged float64
 	}
-
-	// demand is what one source is asked for, a second.
-	demand struct {
-		rate     float64
-		usual    float64 // over a longer time
-		before   float64 // that, one or two marks ago
-		mark     float64
-		marked   time.Time
-		at       time.Time // when it was last told
-		gathered bool      // of a whole data centre
-	}
 )
 
 // NewTally returns a Tally that knows of no usage.
@@ -170,22 +149,6 @@
 // pressed reports whether so many tokens are gone that each source has its share.
 func (c *count) pressed(a *Account) bool { return c.tokens < depth(a)/2 }
 
-// ask notes how often a source was asked since it told before. What is usual is
-// learnt while the account is well within its limit: a surge begins here first and
-// is heard of from elsewhere later, and the shares are to be those from before.
-func (d *demand) ask(n float64, since time.Duration, now time.Time, pressed bool) {
-	since = min(max(since, 50*time.Millisecond), askedSpan)
-	d.rate += (n/since.Seconds() - d.rate) * (1 - math.Exp(-since.Seconds()/askedSpan.Seconds()))
-	d.at = now
-	if pressed && d.before > 0 {
-		return
-	}
-	d.usual += (n/since.Seconds() - d.usual) * (1 - math.Exp(-since.Seconds()/usualSpan.Seconds()))
-	if now.Sub(d.marked) >= markEvery {
-		d.before, d.mark, d.marked = d.mark, d.usual, now
-	}
-}
-
 // silentParts are the parts of what is asked that nodes of this data centre are,
 // and others, which are cut off. It is what they were asked for until they were,
 // and goes back to the rest when they are heard of again, or not for long.
@@ -255,10 +218,3 @@
 	}
 	return s
 }
-
-func part(of, all float64) float64 {
-	if all == 0 {
-		return 0
-	}
-	return of / all
-}
