Ask another data centre's collector where none of the own answers; no debt for what there was room for

Cause, by the fleet without a network in the same pattern: with all collectors of a data centre among the cut, its other nodes went by an even share each, and half of what the accounts may send was refused while their buckets were full; when the cut was over, what twelve seconds had used came as one debt.

A node now turns to the collectors of the other data centres; one that is cut off knows sooner (two reports that are not taken); and of an account with room what was let in more than two seconds before it is told does not count.

--- a/account/exchange.go
+++ b/account/exchange.go
@@ -18,7 +18,7 @@
 	tellTime = 400 * time.Millisecond
 	// aloneAfter is how long nobody must have taken a report for a node to go
 	// by its own share.
-	aloneAfter = 800 * time.Millisecond
+	aloneAfter = 500 * time.Millisecond
 	// passedFor is how long a collector that did not answer is passed over.
 	passedFor = 3 * time.Second
 	// keptUpToDate is how many collectors of a data centre know what was let in:
@@ -82,11 +82,11 @@
 		x.tellOn(ctx, own, others)
 	})
 	x.each(ctx, func(b *Book) {
-		own, _, total := x.cfg.Nodes()
+		own, others, total := x.cfg.Nodes()
 		if total > 0 {
 			x.limiter.Among(total)
 		}
-		x.report(ctx, b, own)
+		x.report(ctx, b, own, others)
 	})
 }
 
@@ -123,7 +123,7 @@
 }
 
 // report tells a collector what this node let in.
-func (x *Exchange) report(ctx context.Context, book *Book, own []Source) {
+func (x *Exchange) report(ctx context.Context, book *Book, own []Source, others [][]Source) {
 	since := time.Since(x.reported)
 	if since < calmEvery-tellEvery/2 && x.failing.IsZero() && !x.limiter.Pressed(since) {
 		return
@@ -137,13 +137,12 @@
 	}
 	x.reported = time.Now()
 	r := Report{From: x.cfg.Self, Usage: us}
-	near := x.candidates(own)
-	if len(near) == 0 {
+	at, ok := x.collector(own, others)
+	if !ok {
 		x.limiter.Untold(us)
 		x.failed(book)
 		return
 	}
-	at := near[0]
 	if at == x.cfg.Self {
 		x.learnt(book, x.Take(r))
 		return
@@ -235,8 +234,22 @@
 	delete(x.telling, at)
 }
 
+// collector is the one that this node is to tell: of its own data centre, or of
+// another where none of its own answers.
+func (x *Exchange) collector(own []Source, others [][]Source) (at Source, ok bool) {
+	for _, dc := range append([][]Source{own}, others...) {
+		if of := x.candidates(dc); len(of) > 0 {
+			return of[0], true
+		}
+	}
+	if len(own) == 0 {
+		return "", false
+	}
+	return own[0], true
+}
+
 // candidates are the first of some collectors that are not passed over, as many
-// as are kept up to date; the first of all where they all are.
+// as are kept up to date.
 func (x *Exchange) candidates(of []Source) []Source {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -247,9 +260,6 @@
 			out = append(out, at)
 		}
 	}
-	if len(out) == 0 && len(of) > 0 {
-		out = of[:1]
-	}
 	return out
 }
 
--- a/account/tally.go
+++ b/account/tally.go
@@ -13,6 +13,10 @@
 	silentAfter    = 2000 * time.Millisecond
 	pressedSilent  = 1200 * time.Millisecond // of an account near its limit
 	gatheredSilent = 700 * time.Millisecond
+	// backlogKept is how long before it tells what a source let in counts, where
+	// there was room for all while it was cut off: the whole would be a debt that
+	// nobody made.
+	backlogKept = 2 * time.Second
 	// silentKept is how long that share is kept from the others.
 	silentKept = 15 * time.Second
 	// firstTokens is the part of a second's rate, or of the burst if that is
@@ -71,7 +75,7 @@
 		}
 		told[u.Account] = true
 		c := t.count(a, now)
-		c.tokens -= float64(u.Admitted)
+		c.tokens -= c.counts(a, u, since)
 		d := c.source(r.From)
 		d.gathered = r.Gathered
 		d.ask(float64(u.Asked), since, now, c.pressed(a))
@@ -81,6 +85,14 @@
 	return out
 }
 
+// counts returns how many tokens a source used that last told some time ago.
+func (c *count) counts(a *Account, u Usage, since time.Duration) float64 {
+	if since <= backlogKept || c.pressed(a) {
+		return float64(u.Admitted)
+	}
+	return float64(u.Admitted) * backlogKept.Seconds() / since.Seconds()
+}
+
 // take takes off what was let in.
 func (t *Tally) take(b *Book, us []Usage, now time.Time) {
 	for _, u := range us {
