Tell a collector that its node tells another from now on; test that who is not cut off loses nothing

Cause, by a trace of the buckets after the cut: a node whose collector did not answer told another one, and went back when it did. Silent there, it was taken for cut off; the share of all such nodes, 0.7 of some accounts, was held back and charged to all data centres.

--- a/account/exchange.go
+++ b/account/exchange.go
@@ -59,6 +59,7 @@
 		reported time.Time // when this node last told
 		had      time.Time // when it last had usage to tell
 		failing  time.Time // since when nobody took a report; zero while one does
+		tells    Source    // the collector that it told last
 
 		ticks int // of telling other collectors; only the goroutine that does uses it
 
@@ -143,6 +144,7 @@
 		x.failed(book)
 		return
 	}
+	x.moveTo(ctx, at)
 	if at == x.cfg.Self {
 		x.learnt(book, x.Take(r))
 		return
@@ -159,6 +161,26 @@
 	x.failed(book)
 }
 
+// moveTo lets the collector that this node told before know that it tells another.
+func (x *Exchange) moveTo(ctx context.Context, at Source) {
+	before := x.tells
+	if x.tells = at; before == at || before == "" {
+		return
+	}
+	r := Report{From: x.cfg.Self, Moved: true}
+	if before == x.cfg.Self {
+		x.Take(r)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, tellTime)
+		defer cancel()
+		if _, err := x.cfg.Tell(ctx, before, r); err != nil {
+			x.cfg.Failed(before, err)
+		}
+	}()
+}
+
 func (x *Exchange) learnt(book *Book, of []Standing) {
 	x.failing = time.Time{}
 	x.limiter.Learn(book, of)
--- a/account/limiter.go
+++ b/account/limiter.go
@@ -18,7 +18,7 @@
 	freshFor = 300 * time.Millisecond
 	// calmAsked is how many more requests than its share a node may see by
 	// chance between two reports.
-	calmAsked = 4
+	calmAsked = 3
 )
 
 type (
--- a/account/tally.go
+++ b/account/tally.go
@@ -13,9 +13,9 @@
 	silentAfter    = 2000 * time.Millisecond
 	pressedSilent  = 1200 * time.Millisecond // of an account near its limit
 	gatheredSilent = 700 * time.Millisecond
-	// backlogKept is how long before it tells what a source let in counts, where
-	// there was room for all while it was cut off: the whole would be a debt that
-	// nobody made.
+	// backlogKept is how long before it tells what a source let in counts that
+	// was cut off: its share was held back for it, or there was room for all, and
+	// the whole would be a debt that nobody made.
 	backlogKept = 2 * time.Second
 	// silentKept is how long that share is kept from the others.
 	silentKept = 15 * time.Second
@@ -61,9 +61,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	if r.Standby {
+	switch {
+	case r.Standby:
 		t.take(b, r.Usage, now)
 		return nil
+	case r.Moved:
+		t.forget(r.From)
+		return nil
 	}
 	since, told := now.Sub(t.heard[r.From]), map[Name]bool{}
 	t.heard[r.From] = now
@@ -75,7 +79,7 @@
 		}
 		told[u.Account] = true
 		c := t.count(a, now)
-		c.tokens -= c.counts(a, u, since)
+		c.tokens -= u.tokens(since)
 		d := c.source(r.From)
 		d.gathered = r.Gathered
 		d.ask(float64(u.Asked), since, now, c.pressed(a))
@@ -85,9 +89,9 @@
 	return out
 }
 
-// counts returns how many tokens a source used that last told some time ago.
-func (c *count) counts(a *Account, u Usage, since time.Duration) float64 {
-	if since <= backlogKept || c.pressed(a) {
+// tokens returns how many count of what a source let in since it told before.
+func (u *Usage) tokens(since time.Duration) float64 {
+	if since <= backlogKept {
 		return float64(u.Admitted)
 	}
 	return float64(u.Admitted) * backlogKept.Seconds() / since.Seconds()
@@ -102,6 +106,16 @@
 	}
 }
 
+// forget drops a source that tells another collector: silent here it would be
+// taken for one that is cut off, and its share held back.
+func (t *Tally) forget(from Source) {
+	delete(t.heard, from)
+	for _, c := range t.accounts {
+		delete(c.sources, from)
+		delete(c.silent, from)
+	}
+}
+
 // Charged returns what other data centres are to know besides what nodes told:
 // what those that are cut off may have let in.
 func (t *Tally) Charged(b *Book) []Usage {
--- a/account/usage.go
+++ b/account/usage.go
@@ -31,6 +31,8 @@
 		// Standby says that it is for a node that may take the place of the one
 		// that tells: what was let in counts, and who asked does not.
 		Standby bool
+		// Moved says that the node tells another collector from now on.
+		Moved bool
 	}
 
 	// Standing is how an account stands over all nodes, for one source.
@@ -60,7 +62,7 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (r *Report) DecodeMsgpack(d *msgpack.Decoder) error {
 	*r = Report{}
-	return message.Decode(d, (*string)(&r.From), &r.Gathered, (*message.List[Usage])(&r.Usage), &r.Standby)
+	return message.Decode(d, (*string)(&r.From), &r.Gathered, (*message.List[Usage])(&r.Usage), &r.Standby, &r.Moved)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
