Hand what a node tells another over in one place; stop counting ends once there are enough

tellUsage had written tellOnce's dial, call and check of the status again; both call callNode now. othersEnd went on over all known ends after the third that decides, at each question for a request with one proof. Behaviour is the same; the tests are as they were. Found when reading the whole change once more.

--- a/account/tally.go
+++ b/account/tally.go
@@ -10,7 +10,7 @@
 	// silentAfter is when a node that has not said that it is done counts as cut
 	// off, and gatheredSilent when a data centre does, which tells more often: it
 	// goes on with its share by itself.
-	silentAfter    = 2000 * time.Millisecond
+	silentAfter    = 2 * time.Second
 	pressedSilent  = 1200 * time.Millisecond // of an account near its limit
 	gatheredSilent = 700 * time.Millisecond
 	// backlogKept is how long before it tells what a source let in counts that
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -105,11 +105,14 @@
 func (b *Book) othersEnd(r *Record) bool {
 	n := 0
 	for id, fs := range b.under {
-		if n < endsOfOtherCause && !r.has(id) && !b.explained(fs) {
-			n++
+		if r.has(id) || b.explained(fs) {
+			continue
+		}
+		if n++; n >= endsOfOtherCause {
+			return true
 		}
 	}
-	return n >= endsOfOtherCause
+	return false
 }
 
 // explained reports whether one of the requests that ran when an instance ended
--- a/sidecar/tell.go
+++ b/sidecar/tell.go
@@ -92,17 +92,10 @@
 func (n *Node) tellOnce(at membership.Addr, body []byte) error {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	conn, err := n.dial(ctx, wire.Peer{Addr: string(at)})
-	if err != nil {
-		return err
-	}
-	a, err := conn.Call(ctx, call.Request{ID: endsOperation, Operation: endsOperation, Body: body, Remaining: answerTime}, n.revision())
+	a, err := n.callNode(ctx, at, endsOperation, body)
 	if err != nil {
 		return err
 	}
-	if a.Status != call.OK {
-		return eris.Wrap(errNotTaken, a.Reason)
-	}
 	told, err := readReport(a.News)
 	if err == nil {
 		n.tell(n.book.Learn(told)...)
@@ -110,6 +103,20 @@
 	return err
 }
 
+// callNode hands a node something of this node's own; one that does not take it
+// is errNotTaken.
+func (n *Node) callNode(ctx context.Context, at membership.Addr, operation string, body []byte) (call.Answer, error) {
+	conn, err := n.dial(ctx, wire.Peer{Addr: string(at)})
+	if err != nil {
+		return call.Answer{}, err
+	}
+	a, err := conn.Call(ctx, call.Request{ID: call.RequestID(operation), Operation: operation, Body: body, Remaining: answerTime}, n.revision())
+	if err == nil && a.Status != call.OK {
+		err = eris.Wrap(errNotTaken, a.Reason)
+	}
+	return a, err
+}
+
 // serveEnds takes over what another node tells, and answers with what is known
 // here of the same requests: a data centre that was cut off knows of ends that
 // the others have not heard of.
--- a/sidecar/usage.go
+++ b/sidecar/usage.go
@@ -7,7 +7,6 @@
 	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/membership"
-	"github.com/oatpin/oatpin/wire"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -57,17 +56,10 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode usage")
 	}
-	conn, err := n.dial(ctx, wire.Peer{Addr: string(at)})
+	a, err := n.callNode(ctx, membership.Addr(at), usageOperation, body)
 	if err != nil {
 		return nil, err
 	}
-	a, err := conn.Call(ctx, call.Request{ID: usageOperation, Operation: usageOperation, Body: body, Remaining: answerTime}, n.revision())
-	if err != nil {
-		return nil, err
-	}
-	if a.Status != call.OK {
-		return nil, eris.Wrap(errNotTaken, a.Reason)
-	}
 	var told account.Standings
 	err = msgpack.Unmarshal(a.Body, &told)
 	return told.Of, eris.Wrap(err, "decode standings")
