--- a/directory/reader.go
+++ b/directory/reader.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/oatpin/oatpin/timeline"
 	"github.com/rotisserie/eris"
 )
 
@@ -59,14 +62,23 @@
 	Listed(ctx context.Context, id InstanceID) (bool, error)
 }
 
-// Reader reads a source into a Directory, one call at a time. It is not safe
-// for concurrent use.
+// Reader reads a source into a Directory, one call at a time. Except for
+// Counts, it is not safe for concurrent use.
 type Reader struct {
 	d           *Directory
 	src         Source
+	log         *timeline.LimitedLogger // rate-limited: a source may reject every watch
 	readerCount func() int
 	reload      bool          // the next call is a load
 	nextWait    time.Duration // duration of the next watch; 0 for the first one after a load or change
+
+	loads, historyLosses atomic.Int64
+}
+
+// ReaderCounts holds how often a Reader loaded its source and how often the
+// source no longer had the changes that it watched for.
+type ReaderCounts struct {
+	Loads, HistoryLosses int64
 }
 
 // NewReader returns a Reader of a source. readerCount returns the number of
@@ -75,7 +87,12 @@
 	if readerCount == nil {
 		readerCount = func() int { return len(d.View().All()) }
 	}
-	return &Reader{d: d, src: src, readerCount: readerCount}
+	return &Reader{d: d, src: src, log: timeline.NewLimitedLogger(d.log, timeline.DefaultLinesPerSecond), readerCount: readerCount}
+}
+
+// Counts returns the counts since the start. It is safe for concurrent use.
+func (r *Reader) Counts() ReaderCounts {
+	return ReaderCounts{Loads: r.loads.Load(), HistoryLosses: r.historyLosses.Load()}
 }
 
 // Follow keeps d up to date with a source until ctx ends.
@@ -111,6 +128,10 @@
 		return err
 	}
 	r.d.SourceAnswered()
+	r.loads.Add(1)
+	r.log.Log("source_loaded", func() log.Fields {
+		return log.Fields{"revision": s.Revision, "held": r.d.Revision(), "instances": len(s.Instances)}
+	})
 	r.d.Replace(s)
 	r.reload, r.nextWait = false, 0
 	return nil
@@ -135,7 +156,8 @@
 	case ctx.Err() != nil:
 		return ctx.Err()
 	case errors.Is(err, ErrHistoryLost):
-		r.d.log.Warn("source_history_lost")
+		r.historyLosses.Add(1)
+		r.log.Log("source_history_lost", func() log.Fields { return log.Fields{"after": after} })
 		r.reload = true
 		return nil
 	case err != nil && interrupted:
--- a/directory/reader_test.go
+++ b/directory/reader_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -164,3 +166,35 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against logs that do not tell a source that discarded its history from
+// one whose revision decreased.
+func TestLostHistoryIsLoggedWithRevisions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		lines := memory.New()
+		src := &fakeSource{snap: Snapshot{Revision: 5}}
+		src.watch = func(context.Context, Revision, time.Duration) ([]Change, Revision, error) {
+			src.mu.Lock()
+			src.watch = nil
+			src.snap.Revision = 7
+			src.mu.Unlock()
+			return nil, 0, ErrHistoryLost
+		}
+		d := New(DefaultConfig(&log.Logger{Handler: lines, Level: log.InfoLevel}))
+		r := d.NewReader(src, nil)
+		Convey("The log has the revision watched from, and those held and loaded", t, func() {
+			for range 3 {
+				So(r.Step(ctx), ShouldBeNil)
+			}
+			So(lines.Entries, ShouldHaveLength, 3)
+			So(lines.Entries[0].Fields, ShouldResemble, log.Fields{"revision": Revision(5), "held": Revision(0), "instances": 0})
+			So(lines.Entries[1].Message, ShouldEqual, "source_history_lost")
+			So(lines.Entries[1].Fields, ShouldResemble, log.Fields{"after": Revision(5)})
+			So(lines.Entries[2].Fields, ShouldResemble, log.Fields{"revision": Revision(7), "held": Revision(5), "instances": 0})
+			So(r.Counts(), ShouldResemble, ReaderCounts{Loads: 2, HistoryLosses: 1})
+		})
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/replication/counts.go
+++ b/replication/counts.go
@@ -1,6 +1,10 @@
 package replication
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/oatpin/oatpin/directory"
+)
 
 type (
 	// Counts holds the number of source calls and peer polls that a node made
@@ -8,6 +12,7 @@
 	Counts struct {
 		SourceCalls, SourceErrors int64 // calls to the source
 		PeerPolls, PeerErrors     int64 // polls of other nodes
+		directory.ReaderCounts
 	}
 
 	counters struct {
@@ -30,7 +35,11 @@
 // concurrent use.
 func (s *Syncer) Counts() Counts {
 	c := &s.counters
-	return Counts{SourceCalls: c.sourceCalls.Load(), SourceErrors: c.sourceErrors.Load(), PeerPolls: c.peerPolls.Load(), PeerErrors: c.peerErrors.Load()}
+	out := Counts{SourceCalls: c.sourceCalls.Load(), SourceErrors: c.sourceErrors.Load(), PeerPolls: c.peerPolls.Load(), PeerErrors: c.peerErrors.Load()}
+	if s.reader != nil {
+		out.ReaderCounts = s.reader.Counts()
+	}
+	return out
 }
 
 // IsReader reports whether this node is a reader of the source. It is safe for
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -179,6 +179,8 @@
 	for name, f := range map[string]func(replication.Counts) int64{
 		"oatpin_source_reads_total":        func(c replication.Counts) int64 { return c.SourceCalls },
 		"oatpin_source_reads_failed_total": func(c replication.Counts) int64 { return c.SourceErrors },
+		"oatpin_source_loads_total":        func(c replication.Counts) int64 { return c.Loads },
+		"oatpin_source_history_lost_total": func(c replication.Counts) int64 { return c.HistoryLosses },
 		"oatpin_reader_asked_total":        func(c replication.Counts) int64 { return c.PeerPolls },
 		"oatpin_reader_asked_failed_total": func(c replication.Counts) int64 { return c.PeerErrors },
 	} {
