Pause between loads that do not lead to a successful watch

A load that the next watch does not confirm is now followed by a pause that doubles from 50 ms to 1 s.

A single lost history is loaded at once, as before (TestLostHistoryTriggersReload).

--- a/directory/reader.go
+++ b/directory/reader.go
@@ -77,6 +77,8 @@
 	log         *timeline.LimitedLogger // rate-limited: a source may reject every watch
 	readerCount func() int
 	reload      bool          // the next call is a load
+	loaded      bool          // the latest call that succeeded was a load
+	loadBackoff Backoff       // between loads that do not lead to a successful watch
 	nextWait    time.Duration // duration of the next watch; 0 for the first one after a load or change
 
 	loads, historyLosses atomic.Int64
@@ -143,7 +145,7 @@
 		return log.Fields{"revision": s.Revision, "held": r.d.Revision(), "instances": len(s.Instances)}
 	})
 	r.d.Replace(s)
-	r.reload, r.nextWait = false, 0
+	r.reload, r.loaded, r.nextWait = false, true, 0
 	return nil
 }
 
@@ -172,6 +174,11 @@
 		r.historyLosses.Add(1)
 		r.log.Log("source_history_lost", func() log.Fields { return log.Fields{"after": after} })
 		r.reload = true
+		if r.loaded {
+			// A load does not help against this source; without a pause, each
+			// rejected watch would cost it another one.
+			r.loadBackoff.Wait(ctx)
+		}
 		return nil
 	case err != nil && interrupted:
 		r.nextWait = 0
@@ -181,6 +188,8 @@
 		return err
 	}
 	r.d.SourceAnswered()
+	r.loaded = false
+	r.loadBackoff.Reset()
 	r.d.Apply(changes, next)
 	if len(changes) > 0 {
 		Pause(ctx, minBatchDelay+rand.N(maxBatchDelay-minBatchDelay))
--- a/directory/reader_test.go
+++ b/directory/reader_test.go
@@ -198,3 +198,30 @@
 		synctest.Wait()
 	})
 }
+
+// Guards a source that rejects every watch against a load per rejection, and its
+// changes against a reader that stops asking.
+func TestRepeatedHistoryLossBacksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		src := &fakeSource{snap: Snapshot{Revision: 5, Routes: testRoutes(t, 1)}}
+		src.watch = func(ctx context.Context, _ Revision, _ time.Duration) ([]Change, Revision, error) {
+			Pause(ctx, 4*time.Millisecond)
+			return nil, 0, ErrHistoryLost
+		}
+		d := New(DefaultConfig(discardLog))
+		go d.Follow(ctx, src)
+		time.Sleep(10 * time.Second)
+		Convey("Loads are at least maxBackoff/2 apart after the first ones, and find changes", t, func() {
+			src.mu.Lock()
+			loads := src.loads
+			src.mu.Unlock()
+			So(loads, ShouldBeLessThan, 10*int(time.Second/(maxBackoff/2))+8)
+			src.set(Snapshot{Revision: 6, Routes: testRoutes(t, 2)}, nil)
+			time.Sleep(2 * time.Second)
+			So(d.View().Routes.Version, ShouldEqual, 2)
+		})
+		cancel()
+		synctest.Wait()
+	})
+}
