Keep to what is known of instances that leave when the store is restored

A store that comes back from a backup lists as ready an instance that has reported since that it leaves, and instances whose entries were removed. A node that knew better took the store's word, as it is of a later era, and sent requests to them again until they had written their entries or expired.

Unconfirmed instances now come last at a shared address.

--- a/directory/delta.go
+++ b/directory/delta.go
@@ -25,30 +25,43 @@
 		Age     time.Duration // upper bound for the age of the state
 	}
 
-	// removals holds the revision of the latest removal of each instance,
-	// bounded by maxRemovals.
+	// removedEntry is the removal of an entry and what was known of its
+	// instance.
+	removedEntry struct {
+		at      Revision
+		started UnixMilli
+		left    bool // it was leaving
+	}
+
+	// removals holds the latest removal of each instance, bounded by
+	// maxRemovals.
 	removals struct {
-		revisions map[InstanceID]Revision
+		latest map[InstanceID]removedEntry
 		// completeAfter is the revision up to which removals may be missing.
 		completeAfter Revision
 	}
 )
 
-func newRemovals() removals { return removals{revisions: map[InstanceID]Revision{}} }
+func newRemovals() removals { return removals{latest: map[InstanceID]removedEntry{}} }
 
-func (r *removals) add(id InstanceID, revision Revision) {
-	r.revisions[id] = max(r.revisions[id], revision)
-	if len(r.revisions) <= maxRemovals {
+func (r *removals) add(id InstanceID, e removedEntry) {
+	old := r.latest[id]
+	e.at = max(e.at, old.at)
+	if e.started <= old.started {
+		e.started, e.left = old.started, e.left || old.left
+	}
+	r.latest[id] = e
+	if len(r.latest) <= maxRemovals {
 		return
 	}
 	oldest := id
-	for other, revision := range r.revisions {
-		if revision < r.revisions[oldest] {
+	for other, e := range r.latest {
+		if e.at < r.latest[oldest].at {
 			oldest = other
 		}
 	}
-	r.completeAfter = max(r.completeAfter, r.revisions[oldest])
-	delete(r.revisions, oldest)
+	r.completeAfter = max(r.completeAfter, r.latest[oldest].at)
+	delete(r.latest, oldest)
 }
 
 // Since returns what is known here beyond a revision, for another node.
@@ -80,9 +93,9 @@
 	if x.After == 0 {
 		return x
 	}
-	for id, at := range d.removals.revisions {
-		if at > x.After {
-			x.Removed = append(x.Removed, Removal{ID: id, At: at})
+	for id, e := range d.removals.latest {
+		if e.at > x.After {
+			x.Removed = append(x.Removed, Removal{ID: id, At: e.at})
 		}
 	}
 	return x
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -71,6 +71,7 @@
 		routes         *Routes
 		instances      map[InstanceID]Instance
 		unlisted       map[InstanceID]unlisted // instances kept although their entries were removed
+		doubts         doubts                  // about entries that a restored source lists
 		removals       removals
 		source         sourceStatus
 		graceEnds      time.Time     // end of the grace period after an outage
@@ -91,7 +92,7 @@
 
 // New returns an empty Directory.
 func New(cfg Config) *Directory {
-	d := &Directory{cfg: cfg, log: cfg.Log, instances: map[InstanceID]Instance{}, unlisted: map[InstanceID]unlisted{}, removals: newRemovals(),
+	d := &Directory{cfg: cfg, log: cfg.Log, instances: map[InstanceID]Instance{}, unlisted: map[InstanceID]unlisted{}, doubts: doubts{}, removals: newRemovals(),
 		deltaApplied: make(chan struct{}, 1), advanced: make(chan struct{})}
 	d.view.Store(newView(nil, nil))
 	return d
@@ -220,12 +221,13 @@
 // not bring it back.
 func (d *Directory) put(in Instance, knownTo Revision) {
 	old, known := d.instances[in.ID]
-	if (!known && in.Revision <= knownTo) || in.Revision <= d.removals.revisions[in.ID] {
+	if (!known && in.Revision <= knownTo) || in.Revision <= d.removals.latest[in.ID].at {
 		return
 	}
 	if known && (in.Started < old.Started || (in.Started == old.Started && old.Revision > in.Revision)) {
 		return
 	}
+	d.checkRestored(in)
 	delete(d.unlisted, in.ID)
 	d.instances[in.ID] = in
 	if !known || old.Leaving != in.Leaving || old.Started != in.Started {
@@ -237,12 +239,14 @@
 // other may merely have lost its connection to the source: it is kept as
 // unconfirmed until its node denies it or the grace period ends.
 func (d *Directory) remove(id InstanceID, at Revision) {
-	d.removals.add(id, at)
 	in, ok := d.instances[id]
+	doubt, doubted := d.doubts[id]
+	left := in.Leaving || doubt.left
+	d.removals.add(id, removedEntry{at: at, started: in.Started, left: left})
 	if !ok || in.Revision > at {
 		return
 	}
-	if in.Leaving {
+	if left || doubted {
 		d.drop(id, "left")
 		return
 	}
@@ -264,6 +268,7 @@
 func (d *Directory) drop(id InstanceID, reason string) {
 	delete(d.instances, id)
 	delete(d.unlisted, id)
+	delete(d.doubts, id)
 	d.log.WithFields(log.Fields{"instance": id, "why": reason}).Info("instance_gone")
 }
 
@@ -274,7 +279,7 @@
 		in.Unlisted, in.Unconfirmed = ok, ok && !u.confirmed
 		d.instances[id] = in
 	}
-	v := newView(d.routes, d.instances)
+	v := newView(d.routes, d.doubts.applyTo(d.instances))
 	d.view.Store(v)
 	for _, f := range d.onChange {
 		f(v)
--- a/directory/instances.go
+++ b/directory/instances.go
@@ -32,7 +32,7 @@
 		Slots         int       // concurrent requests it serves
 		Leaving       bool      // takes no new requests
 		Unlisted      bool      // its entry was removed although it was not leaving
-		Unconfirmed   bool      // unlisted and not confirmed by its node: last resort only
+		Unconfirmed   bool      // unlisted and not confirmed by its node, or doubted after a restore: last resort only
 		ColdUntil     time.Time // end of the warm-up after a start; zero if it is warm
 		FirstRevision Revision  // revision at which it was first listed
 		Revision      Revision  // revision at which its entry last changed
@@ -79,9 +79,12 @@
 }
 
 // supersedes reports whether in, at the same address as old, is the current
-// one: listed entries come before unlisted ones, then later ones before earlier
-// ones.
+// one: unconfirmed ones come last, listed entries before unlisted ones, then
+// later ones before earlier ones.
 func (in *Instance) supersedes(old *Instance) bool {
+	if in.Unconfirmed != old.Unconfirmed {
+		return old.Unconfirmed
+	}
 	if in.Unlisted != old.Unlisted {
 		return old.Unlisted
 	}
--- a/directory/unlisted.go
+++ b/directory/unlisted.go
@@ -47,18 +47,20 @@
 }
 
 // ExpireUnlisted drops the unlisted instances whose grace period or
-// confirmation has expired. It is safe for concurrent use.
+// confirmation has expired, and ends doubts about listed ones. It is safe for
+// concurrent use.
 func (d *Directory) ExpireUnlisted() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now, dropped := time.Now(), false
+	now := time.Now()
+	changed := d.expireDoubts(now)
 	for id, u := range d.unlisted {
 		if !now.Before(u.until) {
 			d.drop(id, "not listed or confirmed in time")
-			dropped = true
+			changed = true
 		}
 	}
-	if dropped {
+	if changed {
 		d.publish()
 	}
 }
