Keep live instances that a restored store's backup lacks

An instance that registered after the backup has no entry in the restored store until it reports again, within about two seconds. Nodes took that for a removal: unconfirmed for 0.6 s, and the node beside it did not vouch for it, as the store answered and did not list it. Its service then refused requests.

A restore now counts as an outage that ends with it: entries that the backup lacks are kept for OutageGrace (2.5 s), and a node vouches for its instance by a probe for 2 s after it. Source.Listed tells the era of its answer; one in another era than the state held, as in the moment before a node hears of the restore, counts as no answer.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -128,7 +128,7 @@
 
 func (d *Directory) replaceLocked(s Snapshot) {
 	if d.hasSnapshot && s.Revision.Era() > d.revision.Era() {
-		d.log.WithFields(log.Fields{"from": d.revision, "to": s.Revision}).Warn("source_restored")
+		d.noteRestore(s.Revision)
 	}
 	d.setRoutes(s.Routes, s.Revision)
 	knownTo := d.revision
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -64,7 +64,7 @@
 	}
 }
 
-func (f *fakeSource) Listed(context.Context, InstanceID) (bool, error) { return false, f.err }
+func (f *fakeSource) Listed(context.Context, InstanceID) (bool, Era, error) { return false, 0, f.err }
 
 func (f *fakeSource) set(snap Snapshot, err error) {
 	f.mu.Lock()
--- a/directory/reader.go
+++ b/directory/reader.go
@@ -65,8 +65,9 @@
 	// of the revision for one that it assigned again: the changes are then those
 	// of the later era, and incomplete.
 	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error)
-	// Listed reports whether an instance has an entry now.
-	Listed(ctx context.Context, id InstanceID) (bool, error)
+	// Listed reports whether an instance has an entry now, and the era of the
+	// source.
+	Listed(ctx context.Context, id InstanceID) (bool, Era, error)
 }
 
 // Reader reads a source into a Directory, one call at a time. Except for
--- a/directory/reader_test.go
+++ b/directory/reader_test.go
@@ -51,7 +51,9 @@
 	}
 }
 
-func (*withholdingSource) Listed(context.Context, InstanceID) (bool, error) { return true, nil }
+func (*withholdingSource) Listed(context.Context, InstanceID) (bool, Era, error) {
+	return true, 0, nil
+}
 
 // Two changes follow each other and the source notifies its watches of the
 // first only. With the watches spread over time, some node must find the second
@@ -104,7 +106,7 @@
 
 func (*changingSource) Load(context.Context) (Snapshot, error) { return Snapshot{}, nil }
 
-func (*changingSource) Listed(context.Context, InstanceID) (bool, error) { return true, nil }
+func (*changingSource) Listed(context.Context, InstanceID) (bool, Era, error) { return true, 0, nil }
 
 func (s *changingSource) Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error) {
 	s.mu.Lock()
--- a/directory/restored.go
+++ b/directory/restored.go
@@ -24,6 +24,16 @@
 	doubts map[InstanceID]doubt
 )
 
+// noteRestore records that the source came back from a backup, as of a revision
+// of the new era. The entries that the backup lacks are treated as after an
+// outage, since live instances report again within the same time.
+func (d *Directory) noteRestore(at Revision) {
+	now := time.Now()
+	d.log.WithFields(log.Fields{"from": d.revision, "to": at}).Warn("source_restored")
+	d.graceEnds = now.Add(d.cfg.OutageGrace)
+	d.source.lastUnreachable = now
+}
+
 // checkRestored decides whether an entry that is about to replace what is known
 // of its instance is doubted. Without this, a node would send requests again to
 // an instance that reported that it leaves, or whose entry was removed, when the
--- a/directory/restored_test.go
+++ b/directory/restored_test.go
@@ -128,3 +128,28 @@
 		})
 	})
 }
+
+// A source comes back from a backup that lacks instances registered since, which
+// are listed again once they report. Dropping them in between would refuse
+// requests.
+func TestInstancesMissingInBackupAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(DefaultConfig(discardLog))
+		d.SourceAnswered()
+		d.Replace(Snapshot{Revision: testRevision(1, 23), Instances: []Instance{testInstance("a", testRevision(1, 21)), leavingInstance("b", testRevision(1, 22))}})
+		time.Sleep(time.Minute)
+		d.Replace(Snapshot{Revision: testRevision(2, 20)})
+		Convey("They are kept as after an outage, except for those that leave", t, func() {
+			So(d.LastSourceFailure(), ShouldEqual, time.Now())
+			time.Sleep(2 * time.Second)
+			d.ExpireUnlisted()
+			So(d.View().All(), ShouldHaveLength, 1)
+			in, _ := d.View().Find("a")
+			So(in.Unconfirmed, ShouldBeTrue)
+			back := testInstance("a", testRevision(2, 21))
+			d.Apply([]Change{{Instance: &back}}, testRevision(2, 21))
+			in, _ = d.View().Find("a")
+			So(in.Unconfirmed, ShouldBeFalse)
+		})
+	})
+}
--- a/replication/fake_test.go
+++ b/replication/fake_test.go
@@ -267,14 +267,14 @@
 	}
 }
 
-func (l *link) Listed(ctx context.Context, id directory.InstanceID) (bool, error) {
+func (l *link) Listed(ctx context.Context, id directory.InstanceID) (bool, directory.Era, error) {
 	if err := l.roundTrip(ctx); err != nil {
-		return false, err
+		return false, 0, err
 	}
 	l.store.mu.Lock()
 	defer l.store.mu.Unlock()
 	_, ok := l.store.items[id]
-	return ok, nil
+	return ok, l.store.era, nil
 }
 
 // Since implements Peers for one node.
--- a/sidecar/mesh_test.go
+++ b/sidecar/mesh_test.go
@@ -81,8 +81,8 @@
 	return nil, after, ctx.Err()
 }
 
-func (failingSource) Listed(context.Context, directory.InstanceID) (bool, error) {
-	return false, errNoSource
+func (failingSource) Listed(context.Context, directory.InstanceID) (bool, directory.Era, error) {
+	return false, 0, errNoSource
 }
 
 // writeSigned writes a response with the headers that a target adds.
--- a/sidecar/restore_test.go
+++ b/sidecar/restore_test.go
@@ -37,6 +37,7 @@
 	m.source = platform.NewStore(strings.TrimPrefix(srv.URL, "http://"), &log.Logger{Handler: discard.New()})
 	for i, service := range []string{"archiv", "archiv", "archiv", "versand"} {
 		v := m.startVM(fmt.Sprintf("127.0.0.%d", i+2), service)
+		v.target.health.Store(http.StatusOK)
 		m.vms = append(m.vms, v)
 		m.must(store.PutInstance(v.self))
 	}
@@ -125,3 +126,24 @@
 		}
 	})
 }
+
+// Guards against refused requests while an instance that registered after the
+// backup has not reported to the restored store.
+func TestInstanceMissingInBackupStaysInUse(t *testing.T) {
+	m := newStoredMesh(t)
+	only := m.vms[3]
+	m.store.RemoveInstance(only.self.ID)
+	backup := m.store.Backup()
+	m.must(m.store.PutInstance(only.self))
+	m.awaitVersion(1)
+	m.store.Restore(backup)
+	Convey("Its service is served all the time", t, func() {
+		for began := time.Now(); time.Since(began) < 1500*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+			for _, v := range m.vms {
+				_, got := m.get(v, "/lookup/x")
+				So(got.err, ShouldBeNil)
+				So(got.code, ShouldEqual, http.StatusOK)
+			}
+		}
+	})
+}
--- a/sidecar/vouch.go
+++ b/sidecar/vouch.go
@@ -28,8 +28,13 @@
 	vouchTimeout = vouch.CheckTimeout + 150*time.Millisecond
 )
 
-// errNoSource is returned by a node without a directory source.
-var errNoSource = eris.New("no directory source")
+var (
+	// errNoSource is returned by a node without a directory source.
+	errNoSource = eris.New("no directory source")
+	// errOtherEra is returned if the directory source answers in another era
+	// than that of the state held.
+	errOtherEra = eris.New("directory source is in another era")
+)
 
 // pendingQueries holds the unlisted instances whose nodes are being queried.
 // Safe for concurrent use.
@@ -155,12 +160,18 @@
 	return vouched
 }
 
-// listed asks the directory source whether an instance is listed.
+// listed asks the directory source whether an instance is listed. A source that
+// has just been restored may not list a live instance yet, so its word counts
+// only once this node has its state and knows when the restore was.
 func (n *Node) listed(ctx context.Context, id directory.InstanceID) (bool, error) {
 	if n.cfg.Source == nil {
 		return false, errNoSource
 	}
-	return n.cfg.Source.Listed(ctx, id)
+	listed, era, err := n.cfg.Source.Listed(ctx, id)
+	if held := n.dir.Revision().Era(); err == nil && era != held {
+		return false, eris.Wrapf(errOtherEra, "answered in era %d, held %d", era, held)
+	}
+	return listed, err
 }
 
 // probe sends a health check to the local target over the pool used for
--- a/sidecar/vouch_test.go
+++ b/sidecar/vouch_test.go
@@ -20,10 +20,10 @@
 	err    error
 }
 
-func (f *fakeSource) Listed(context.Context, directory.InstanceID) (bool, error) {
+func (f *fakeSource) Listed(context.Context, directory.InstanceID) (bool, directory.Era, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.listed, f.err
+	return f.listed, 0, f.err
 }
 
 func (f *fakeSource) set(listed bool, err error) {
