Play restores of the store in the soak, and check what follows one

After recovery the store goes back by three versions, and a version with an added route and the leaving of an instance come together: each node must serve the route 2 s later, and the instance must get no more requests.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -199,7 +199,7 @@
 }
 
 // publishRoutes publishes the next version of the routes, with other timeouts.
-func (d *deployment) publishRoutes() {
+func (d *deployment) publishRoutes(further ...directory.Route) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.routesVersion++
@@ -209,7 +209,7 @@
 			TargetLatency: 300 * time.Millisecond, Priority: priority, Shares: []directory.Share{{Service: service, Weight: 1}}}
 	}
 	d.must(d.store.PutRoutes(d.routesVersion, directory.Limits{BodyBytes: 1 << 16, IdleTimeout: 15 * time.Second},
-		[]directory.Route{newRoute("read", "archiv", true, 2), newRoute("publish", "versand", false, 0)}))
+		append(further, newRoute("read", "archiv", true, 2), newRoute("publish", "versand", false, 0))))
 }
 
 // runCount returns how often a request was executed by all present and previous
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -23,10 +23,12 @@
 func (d *deployment) injectFaults(seed uint64, period time.Duration) {
 	r := rand.New(rand.NewPCG(seed, 0))
 	var wg sync.WaitGroup
-	// A separate generator keeps the faults drawn for a seed independent of the
-	// poison requests.
+	// Separate generators keep the faults drawn for a seed independent of the
+	// poison requests and the restores of the store.
 	poisonRand := rand.New(rand.NewPCG(seed, 1))
 	wg.Go(func() { sendPoisonRequests(d, poisonRand, period) })
+	restoreRand := rand.New(rand.NewPCG(seed, 2))
+	wg.Go(func() { restoreStore(d, restoreRand, period) })
 	for deadline := time.Now().Add(period); time.Now().Before(deadline); time.Sleep(randomMillis(r, 50, 400)) {
 		f, v := faults[r.IntN(len(faults))], d.vms[r.IntN(len(d.vms))]
 		faultRand := rand.New(rand.NewPCG(r.Uint64(), 0))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,7 +39,8 @@
 // Guards against duplicate execution of non-idempotent requests, execution of
 // refused ones, wrong or truncated responses, connections lost in planned stops
 // and a failure to recover after concurrent faults. Also guards against a poison
-// request that keeps crashing instances.
+// request that keeps crashing instances, and against changes that some nodes do
+// not learn of after the store was restored from a backup.
 func TestInvariantsUnderFaults(t *testing.T) {
 	bin := buildBinary(t)
 	seeds := append([]uint64{}, regressionSeeds...)
@@ -55,9 +56,11 @@
 			d.injectFaults(seed, *durationFlag)
 			time.Sleep(recoveryTime)
 			successRate := d.successRate(observationTime)
+			unheard := d.changesLostInRestore()
 			furtherCrashes := d.sendPoisonAfterRecovery()
 			d.stopCallers()
 			d.restarts.Wait()
+			So(unheard, ShouldBeEmpty)
 			So(d.violations(), ShouldBeEmpty)
 			So(successRate, ShouldBeGreaterThan, minSuccessRate)
 			So(furtherCrashes, ShouldBeLessThanOrEqualTo, maxFurtherCrashes)
--- a/soak/target.go
+++ b/soak/target.go
@@ -98,6 +98,17 @@
 	return t.runs[id]
 }
 
+// TotalExecutions returns how many requests the target has executed.
+func (t *Target) TotalExecutions() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, runs := range t.runs {
+		n += runs
+	}
+	return n
+}
+
 // ServeHTTP executes a request or answers a health check.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == healthPath {
