Tell the runs of the configuration service apart in the VM list

The configuration service counts changes of its VM list from 1 after each start. A node that watched from revision 5 of one run, and asks a later run that has got to 5 or beyond, is told what comes after 5: the leavings before are never heard of, and those VMs go on getting calls. Only a lower revision made the service send the full list.

Looked at as well: configurations are ordered by their own versions, which the operator raises; quarantine cursors have an epoch a process.

--- a/configservice/server.go
+++ b/configservice/server.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -46,6 +47,7 @@
 		cfg     Config
 		log     log.Interface
 		limiter *rate.Limiter
+		era     string // identifies this run of the service, which keeps nothing; random
 
 		mu       sync.Mutex
 		current  *callgraph.Graph
@@ -62,7 +64,7 @@
 	if cfg.ReadRate == 0 {
 		cfg.ReadRate = DefaultReadRate
 	}
-	s := &Server{cfg: cfg, log: cfg.Log, mode: ModeUp, changed: make(chan struct{}),
+	s := &Server{cfg: cfg, log: cfg.Log, era: strconv.FormatUint(rand.Uint64(), 36), mode: ModeUp, changed: make(chan struct{}),
 		limiter: rate.NewLimiter(rate.Limit(cfg.ReadRate), int(cfg.ReadRate/10)+1)}
 	if s.log == nil {
 		s.log = log.Log
--- a/configservice/vms.go
+++ b/configservice/vms.go
@@ -15,8 +15,9 @@
 
 	// VMList is the response to a read of the VM list: the changes after the
 	// reader's revision, oldest first, or all changes if that revision is
-	// unknown.
+	// unknown or of another era.
 	VMList struct {
+		Era      string `json:"era"` // identifies the run of the service that assigned Revision
 		Revision uint64 `json:"revision"`
 		Full     bool   `json:"full"` // VMs has all changes
 		VMs      []VM   `json:"vms"`
@@ -38,14 +39,17 @@
 	s.changed = make(chan struct{})
 }
 
-// handleVMs serves the changes after the revision in after=. It blocks up to
-// wait= for a visible change and then responds with 304.
+// handleVMs serves the changes after the revision in after= of the era in era=.
+// It blocks up to wait= for a visible change and then responds with 304.
 func (s *Server) handleVMs(w http.ResponseWriter, r *http.Request) {
 	after, wait, ok := s.admitWatch(w, r)
 	if !ok {
 		return
 	}
 	deadline := time.Now().Add(wait)
+	if era := r.URL.Query().Get("era"); era != "" && era != s.era {
+		after = 0
+	}
 	for {
 		list, next, changed := s.visibleVMs(after)
 		if _, mode, _ := s.view(); mode == ModeDown {
@@ -86,7 +90,7 @@
 	for n < len(s.vms) && !s.vms[n].visibleAt.After(now) {
 		n++
 	}
-	list := VMList{Revision: uint64(n) + 1}
+	list := VMList{Era: s.era, Revision: uint64(n) + 1}
 	from := 0
 	if after == 0 || after > list.Revision {
 		list.Full = true
