--- a/replication/fleet_test.go
+++ b/replication/fleet_test.go
@@ -217,3 +217,40 @@
 		})
 	})
 }
+
+// The store comes back from a backup and assigns the revisions since again.
+// Guards against nodes that miss what is written next, and the source against a
+// load per node or many per reader.
+func TestRestoredStoreReachesAllNodes(t *testing.T) {
+	for _, s := range fleetSizes {
+		runInFleet(t, s.nodes, s.dcs, func(t *testing.T, f *fleet) {
+			for range 3 {
+				f.store.put(f.order[0].in)
+			}
+			time.Sleep(2 * time.Second)
+			calls, loads, messages, bytes := f.store.calls.Load(), f.store.loads.Load(), f.messages.Load(), f.bytes.Load()
+			f.store.restore(3)
+			f.store.put(f.order[1].in)
+			f.store.put(f.order[2].in)
+			began := time.Now()
+			for len(f.lagging()) > 0 && time.Since(began) < 2*time.Second {
+				time.Sleep(10 * time.Millisecond)
+			}
+			took := time.Since(began)
+			readers := 0
+			for dc := range s.dcs {
+				readers += len(f.readersOf(callgraph.DC(fmt.Sprint("dc-", dc))))
+			}
+			loads = f.store.loads.Load() - loads
+			t.Logf("%d nodes: all after %v, %d source calls, %d of them loads, %d messages, %d bytes", s.nodes, took,
+				f.store.calls.Load()-calls, loads, f.messages.Load()-messages, f.bytes.Load()-bytes)
+			Convey(fmt.Sprint("With ", s.nodes, " nodes all have it within 2 s, from at most a load per reader"), t, func() {
+				So(f.lagging(), ShouldBeEmpty)
+				So(loads, ShouldBeLessThanOrEqualTo, readers)
+				for _, n := range f.order {
+					So(n.diff(), ShouldBeEmpty)
+				}
+			})
+		})
+	}
+}
