Doubt only what the first state after a restore lists

Found by a model written for it, TestRestoresDoNotReviveInstances: restores, backups, leavings, removals and loads in any order, with what the node was told as the oracle. An instance whose entry was removed before a restore, and which registered again after the node had loaded the restored store without it, was doubted for 6 s though it had just written its entry: a live instance out of use. Only the first state of an era can be the backup's, so only that is doubted.

--- a/directory/restored.go
+++ b/directory/restored.go
@@ -37,23 +37,22 @@
 // checkRestored decides whether an entry that is about to replace what is known
 // of its instance is doubted. Without this, a node would send requests again to
 // an instance that reported that it leaves, or whose entry was removed, when the
-// source comes back from a backup. An instance that writes its entry again, or
-// starts again, is no longer doubted.
+// source comes back from a backup. Only the first state of an era can be a
+// backup's: what changes later was written again, and is no longer doubted.
 func (d *Directory) checkRestored(in Instance) {
 	prev, known := d.instances[in.ID]
 	removed, wasRemoved := d.removals.latest[in.ID]
 	old, doubted := d.doubts[in.ID]
+	firstOfEra := d.revision.Era() < in.Revision.Era()
 	switch {
 	case known && prev.Revision == in.Revision:
 		return // loaded once more
-	case in.Leaving, known && prev.Started < in.Started:
+	case !firstOfEra, in.Leaving, known && prev.Started < in.Started:
 		delete(d.doubts, in.ID)
-	case known && prev.Revision.Era() < in.Revision.Era() && (prev.Leaving || doubted):
+	case known && (prev.Leaving || doubted):
 		d.addDoubt(in.ID, prev.Leaving || old.left)
-	case !known && wasRemoved && removed.at.Era() < in.Revision.Era() && in.Started <= removed.started:
+	case !known && wasRemoved && in.Started <= removed.started:
 		d.addDoubt(in.ID, removed.left)
-	default:
-		delete(d.doubts, in.ID)
 	}
 }
 
