--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -62,8 +64,8 @@
 	time.Sleep(changeTimeout)
 	var unheard []string
 	for _, v := range d.vms {
-		if code := d.addedRouteStatus(v); code != http.StatusOK {
-			unheard = append(unheard, fmt.Sprintf("node-%d answers %d on the added route", v.n, code))
+		if code, err := d.addedRouteStatus(v); code != http.StatusOK {
+			unheard = append(unheard, fmt.Sprintf("node-%d answers %d on the added route, error %v; its log ends with %s", v.n, code, err, d.logTail(v)))
 		}
 	}
 	before := v.target.TotalExecutions()
@@ -74,9 +76,19 @@
 	return unheard
 }
 
-// addedRouteStatus returns the status of a request on the added route, 0 without
-// a response.
-func (d *deployment) addedRouteStatus(v *vm) int {
+// logTail returns the end of a node's log.
+func (d *deployment) logTail(v *vm) string {
+	const length = 2000
+	b, err := os.ReadFile(filepath.Join(d.dir, fmt.Sprintf("node-%d.jsonl", v.n)))
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(len(b)-length, 0):])
+}
+
+// addedRouteStatus returns the status of a request on the added route, 0 with an
+// error without a response.
+func (d *deployment) addedRouteStatus(v *vm) (int, error) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
 	req, err := http.NewRequest(http.MethodPost, "http://"+d.callerAddr(v)+"/added/", strings.NewReader("x"))
 	d.must(err)
@@ -85,8 +97,8 @@
 	req.Header.Set(platform.Headers.Deadline, "1500")
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0
+		return 0, err
 	}
 	defer resp.Body.Close()
-	return resp.StatusCode
+	return resp.StatusCode, nil
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,26 +49,38 @@
 		seeds = append(seeds, first+uint64(i))
 	}
 	for _, seed := range seeds {
-		Convey(fmt.Sprintf("Seed %d", seed), t, func() {
-			d := startDeployment(t, bin, seed)
-			defer d.stop()
-			d.waitServing(10 * time.Second)
-			d.injectFaults(seed, *durationFlag)
-			time.Sleep(recoveryTime)
-			successRate := d.successRate(observationTime)
-			unheard := d.changesLostInRestore()
-			furtherCrashes := d.sendPoisonAfterRecovery()
-			d.stopCallers()
-			d.restarts.Wait()
-			So(unheard, ShouldBeEmpty)
-			So(d.violations(), ShouldBeEmpty)
-			So(successRate, ShouldBeGreaterThan, minSuccessRate)
-			So(furtherCrashes, ShouldBeLessThanOrEqualTo, maxFurtherCrashes)
-			t.Logf("seed %d: %s; %d targets crashed by the poison request, %d of them after recovery", seed, d.statusCounts(), d.crashCount(), furtherCrashes)
-		})
+		checkInvariants(t, bin, seed, *durationFlag)
 	}
 }
 
+// Guards against a node that gives no response to a request on a route that was
+// added after a restore of the store.
+func TestSeedWithUnansweredRequest(t *testing.T) {
+	checkInvariants(t, buildBinary(t), 347, 10*time.Second)
+}
+
+// checkInvariants runs one seed with faults for a period and checks what callers
+// and targets observed.
+func checkInvariants(t *testing.T, bin string, seed uint64, period time.Duration) {
+	Convey(fmt.Sprintf("Seed %d", seed), t, func() {
+		d := startDeployment(t, bin, seed)
+		defer d.stop()
+		d.waitServing(10 * time.Second)
+		d.injectFaults(seed, period)
+		time.Sleep(recoveryTime)
+		successRate := d.successRate(observationTime)
+		unheard := d.changesLostInRestore()
+		furtherCrashes := d.sendPoisonAfterRecovery()
+		d.stopCallers()
+		d.restarts.Wait()
+		So(unheard, ShouldBeEmpty)
+		So(d.violations(), ShouldBeEmpty)
+		So(successRate, ShouldBeGreaterThan, minSuccessRate)
+		So(furtherCrashes, ShouldBeLessThanOrEqualTo, maxFurtherCrashes)
+		t.Logf("seed %d: %s; %d targets crashed by the poison request, %d of them after recovery", seed, d.statusCounts(), d.crashCount(), furtherCrashes)
+	})
+}
+
 // sendPoisonAfterRecovery sends the poison request to the nodes in turn and
 // returns how many targets it crashed, not counting the first three of the run.
 func (d *deployment) sendPoisonAfterRecovery() int {
