Log and count what targets state of their rate limits and leaving

An instance that states a rate limit, or that it leaves, showed in no log line and no metric: neither could one tell that it had, nor whether the requests that reached it kept to the limit. The node beside it now decodes both headers, logs each change, and shows the limit beside the count of requests handed to the target. No decision depends on them yet.

--- a/sidecar/mesh_test.go
+++ b/sidecar/mesh_test.go
@@ -25,7 +25,7 @@
 
 var testHeaders = call.Headers{RequestID: "Request-Id", Deadline: "Deadline-Ms", Signature: "Signature",
 	ExpectedInstance: "Expected-Instance", NotExecuted: "Not-Executed", CallerService: "Caller-Service", Instance: "Instance-Id",
-	APIKey: "Authorization", AuthScheme: "Key", Account: "Account"}
+	APIKey: "Authorization", AuthScheme: "Key", Account: "Account", RateLimit: "Rate-Limit", Leaving: "Leaving", LeavingValue: "1"}
 
 type (
 	// mesh is a set of nodes on loopback addresses, each with a fake target.
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -100,6 +100,7 @@
 		vouchChecker *vouch.Checker // decides whether to vouch for the local instance
 		vouchQueries pendingQueries // to the nodes of unlisted instances
 		exits        exitDetector   // of the local target
+		statements   statements     // of the local target about itself
 		quarantine   *quarantine.Tracker
 		isolation    *quarantine.IsolationLock // restricts concurrency at the local target
 		reports      reportQueue               // outgoing quarantine reports
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -194,6 +194,7 @@
 	h.Set(headers.ExpectedInstance, r.To)
 	h.Set(headers.CallerService, r.HTTP.Caller)
 	began := time.Now()
+	n.stats.countSent()
 	resp, err := n.target.Do(ctx, &targetconn.Request{ID: r.ID, Method: r.HTTP.Method, Host: r.HTTP.Host, URI: r.HTTP.URI, Header: h, Body: r.Body})
 	switch {
 	case errors.Is(err, targetconn.ErrNotSent):
@@ -204,7 +205,11 @@
 	case err != nil:
 		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), ReachedTarget: true, InstanceExit: n.targetExitDuring(ctx, &r, began)}
 	}
-	return n.classifyAnswer(r, resp)
+	a := n.classifyAnswer(r, resp)
+	if a.Status != call.Unknown && !a.Leaving {
+		n.recordStatement(r, resp.Header, began)
+	}
+	return a
 }
 
 // classifyAnswer maps a target's response to a call status.
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -41,6 +41,7 @@
 		queueWaits metricCache[waitKey, *metrics.Histogram]
 		retries    metricCache[string, *metrics.Counter]
 		refusals   metricCache[refusalKey, *metrics.Counter]
+		sent       *metrics.Counter // requests sent to the local target
 	}
 
 	requestKey struct {
@@ -71,7 +72,11 @@
 	}
 )
 
-func newStats(node string) *stats { return &stats{set: metrics.NewSet(), node: node} }
+func newStats(node string) *stats {
+	s := &stats{set: metrics.NewSet(), node: node}
+	s.sent = s.set.NewCounter(fmt.Sprintf(`oatpin_target_requests_total{node=%q}`, node))
+	return s
+}
 
 // get returns the metric of a key, and builds it on first use.
 func (m *metricCache[K, V]) get(k K, build func() V) V {
@@ -155,6 +160,15 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_messages_misread_total{node=%q}`, s.node)).Inc()
 }
 
+// countInvalidStatement counts an answer of the local target with a rate limit
+// that could not be decoded.
+func (s *stats) countInvalidStatement() {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_target_rate_limit_invalid_total{node=%q}`, s.node)).Inc()
+}
+
+// countSent counts a request sent to the local target.
+func (s *stats) countSent() { s.sent.Inc() }
+
 // registerGauges registers the gauges that read the node's current state.
 func (s *stats) registerGauges(n *Node) {
 	gauge := func(name string, f func() float64) {
@@ -163,6 +177,8 @@
 	gauge("oatpin_target_busy", func() float64 { return float64(n.gate.Load().InFlight) })
 	gauge("oatpin_target_queued", func() float64 { return float64(n.gate.Load().Queued) })
 	gauge("oatpin_target_limit", func() float64 { return float64(n.gate.Load().Limit) })
+	gauge("oatpin_target_rate_limit", func() float64 { return n.statements.get().RateLimit })
+	gauge("oatpin_target_leaving", func() float64 { return boolGauge(n.statements.get().Leaving) })
 	gauge("oatpin_target_failing_ratio", n.health.FailureRate)
 	gauge("oatpin_target_slow", n.slowdown.Slowdown)
 	gauge("oatpin_admitted_level", func() float64 { return float64(n.meter.Threshold()) })
