Keep the rate limits that instances state

Callers saw nothing yet: an instance in need stated how many requests a second it takes, and went on getting twice that and more, while its service had room.

All requests to an instance pass the node beside it, so that node enforces the limit: a token bucket in the gate before the target, next to its slots. So the sum holds at any number of nodes and nothing has to be divided between them. Other nodes are told with each answer:

- A request that the limit does not admit is refused at once as not run and goes to another instance; the sender avoids the limited one until about the time at which the limit admits the next, longer with each refusal in a row.
The load that the node reports counts as slots what the limit can keep busy.
- A request that no other instance takes waits for the limit, by rank and level.
The first in line may wait for half of the time it has, because at low limits the time of arrival would otherwise decide instead of the rank.
One that others overtake is refused at once.
- The threshold by which entry nodes refuse requests counts only such requests while the limit is what bounds the target.
- A node that restarts does not know of a limit: those that send to it say what they know in the request, and that holds until the target's first answer.
- The limit ends with the first answer without it to a request that was sent after the last answer with it; answers on several connections cross.
One that is no number leaves the limit as it is.

The frames between nodes have an optional last field, which versions that do not know it skip; without it they are the same to the byte.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,6 +70,15 @@
 	// that it is leaving. It is finite because the node may only be
 	// restarting.
 	leavingBackoff = 2 * time.Second
+	// maxRateBackoff bounds how long an instance is avoided after it refused
+	// requests because of its rate limit, and so how late its end is noticed.
+	maxRateBackoff = 2 * time.Second
+	// rateWaitCost is the cost of an instance, per second that its rate limit
+	// delays the next request, for a request that waits for it.
+	rateWaitCost = 5.0
+	// rateLimitMemory is how long the rate limit of an instance is remembered
+	// that is no longer listed, since it may be listed again.
+	rateLimitMemory = time.Minute
 )
 
 type (
@@ -115,15 +124,28 @@
 		TimeLimit     time.Duration // time limit; only used with NonIdempotent
 	}
 
+	// Choice is an instance chosen for a request.
+	Choice struct {
+		directory.Instance
+		// LastResort is set if the instance is to be avoided, but no other one
+		// is left.
+		LastResort bool
+		State      call.InstanceState // what the instance is known to state
+	}
+
 	// Outcome is the result of one request to an instance.
 	Outcome struct {
 		Route       string
-		Latency     time.Duration // time from sending to the response; 0 to leave the latency unchanged
-		Failed      bool          // the request ran and failed, or no response was received
-		Refused     bool          // the instance itself refused to run the request
-		Unreachable bool          // the instance's node could not be reached
-		Leaving     bool          // the instance or its node accepts no new requests
-		Load        *call.Load    // reported with the response; may be nil
+		Latency     time.Duration      // time from sending to the response; 0 to leave the latency unchanged
+		Failed      bool               // the request ran and failed, or no response was received
+		Refused     bool               // the instance itself refused to run the request
+		Unreachable bool               // the instance's node could not be reached
+		Leaving     bool               // the instance or its node accepts no new requests
+		Load        *call.Load         // reported with the response; may be nil
+		State       call.InstanceState // stated by the instance; known if Load is set
+		// RateWait is set if the request was not run because of the instance's
+		// rate limit: the time until the next one is expected to be admitted.
+		RateWait time.Duration
 	}
 
 	instanceState struct {
@@ -137,6 +159,9 @@
 		reportedSlowdown    float64 // relative latency above normal reported by the instance's node
 		reportedAt          time.Time
 		avoidUntil          time.Time
+		stated              call.InstanceState
+		rateRefusals        int       // in a row, because of the rate limit
+		rateFreeAt          time.Time // when the rate limit was expected to admit the next request
 	}
 )
 
@@ -153,7 +178,7 @@
 // Pick chooses an instance for a request and counts the request as
 // outstanding there until Done is called. ok is false if there is no
 // candidate.
-func (b *Balancer) Pick(req PickRequest) (in directory.Instance, ok bool) {
+func (b *Balancer) Pick(req PickRequest) (c Choice, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sel := selection{b: b, req: &req, now: time.Now(), confirmed: anyConfirmed(req.Instances)}
@@ -164,10 +189,11 @@
 		best = sel.avoided
 	}
 	if best == nil {
-		return directory.Instance{}, false
+		return Choice{}, false
 	}
-	b.state(best.Incarnation()).outstanding++
-	return *best, true
+	s := b.state(best.Incarnation())
+	s.outstanding++
+	return Choice{Instance: *best, LastResort: sel.best == nil, State: s.stated}, true
 }
 
 // deadlineRisk returns the additional cost of an instance for a
@@ -194,10 +220,15 @@
 		return
 	case o.Leaving:
 		s.avoidUntil = now.Add(leavingBackoff)
+	case o.RateWait > 0:
+		s.rateRefusals++
+		s.avoidUntil = now.Add(rateBackoff(o.RateWait, s.rateRefusals))
+		s.rateFreeAt = now.Add(o.RateWait)
 	case !o.Failed && !o.Refused:
-		s.avoidUntil = time.Time{}
+		s.avoidUntil, s.rateRefusals = time.Time{}, 0
 	}
 	if o.Load != nil {
+		s.stated = o.State
 		s.load, s.outstandingAtLoad = *o.Load, s.outstanding
 		s.reportedFailureRate, s.reportedSlowdown, s.reportedAt = o.Load.FailureRate, o.Load.Slowdown-1, now
 	}
@@ -207,6 +238,15 @@
 	}
 }
 
+// rateBackoff returns how long an instance is avoided that refused requests in a
+// row because of its rate limit, the last with the given wait. It grows with
+// their number, because the more nodes share a limit, the fewer of them can use
+// what it allows next, and is random so that they do not all ask at once.
+func rateBackoff(wait time.Duration, refusals int) time.Duration {
+	d := min(time.Duration(refusals)*wait, maxRateBackoff)
+	return d/2 + rand.N(d/2+1)
+}
+
 // recordLatency updates the relative latency of an instance. Absolute
 // latency would mostly reflect which routes the instance happened to serve.
 func (b *Balancer) recordLatency(s *instanceState, o Outcome, now time.Time) {
@@ -230,17 +270,22 @@
 }
 
 // Prune discards the data on runs of instances that v does not list and that
-// have no outstanding requests.
+// have no outstanding requests, unless they recently stated a rate limit.
 func (b *Balancer) Prune(v *directory.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for at, s := range b.states {
-		if in, ok := v.Find(at.ID); (!ok || in.Started != at.At) && s.outstanding == 0 {
+		if in, ok := v.Find(at.ID); (!ok || in.Started != at.At) && s.outstanding == 0 && !s.isRateLimited() {
 			delete(b.states, at)
 		}
 	}
 }
 
+// isRateLimited reports whether the instance recently stated a rate limit.
+func (s *instanceState) isRateLimited() bool {
+	return s.stated.RateLimit > 0 && time.Since(s.reportedAt) < rateLimitMemory
+}
+
 func (b *Balancer) state(at directory.Incarnation) *instanceState {
 	s := b.states[at]
 	if s == nil {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -256,7 +256,7 @@
 			for range 100 {
 				in, _ := b.Pick(PickRequest{Instances: first})
 				if in.ID == "near" && len(outstanding) < 10 {
-					outstanding = append(outstanding, in)
+					outstanding = append(outstanding, in.Instance)
 					continue
 				}
 				b.Done(in.Incarnation(), Outcome{Failed: in.ID == "near", Load: loadOf(50)})
@@ -277,3 +277,28 @@
 		})
 	})
 }
+
+// Guards against a node that forgets the rate limit of an instance whose entry
+// is missing for a while, and then cannot tell a restarted node of it.
+func TestStatedRateLimitOutlastsListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("The limit is known for a minute, unless the instance ends it", t, func() {
+			b := New(Config{DC: "nord", Weights: DefaultWeights()})
+			instances := []directory.Instance{{ID: "i", DC: "nord", Slots: 60}}
+			done := func(o Outcome) call.InstanceState {
+				to, ok := b.Pick(PickRequest{Instances: instances})
+				So(ok, ShouldBeTrue)
+				b.Done(to.Incarnation(), o)
+				return to.State
+			}
+			done(Outcome{Load: loadOf(1), State: call.InstanceState{RateLimit: 3}})
+			b.Prune(&directory.View{})
+			So(done(Outcome{Unreachable: true}).RateLimit, ShouldEqual, 3)
+			So(done(Outcome{Load: loadOf(1)}).RateLimit, ShouldEqual, 3)
+			So(done(Outcome{Load: loadOf(1), State: call.InstanceState{RateLimit: 3}}).RateLimit, ShouldEqual, 0)
+			time.Sleep(rateLimitMemory + time.Second)
+			b.Prune(&directory.View{})
+			So(b.HasState(directory.Incarnation{ID: "i"}), ShouldBeFalse)
+		})
+	})
+}
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -63,6 +63,7 @@
 	s := b.state(in.Incarnation())
 	cost := b.cost(in, s, sel.now) + b.deadlineRisk(sel.req, s, sel.now)
 	if sel.now.Before(s.avoidUntil) {
+		cost += rateWaitCost * max(s.rateFreeAt.Sub(sel.now), 0).Seconds()
 		if sel.avoided == nil || cost < sel.avoidedCost {
 			sel.avoided, sel.avoidedCost = in, cost
 		}
--- a/call/call.go
+++ b/call/call.go
@@ -53,6 +53,12 @@
 	// EndOnSuspicion ends the call as Unknown once the peer is suspected, so
 	// that the sender can retry it at another instance.
 	EndOnSuspicion bool `msgpack:"-"`
+	// Known is what the sender knows of what the destination instance states.
+	// Its node may have restarted since. Between nodes it is part of the frame.
+	Known InstanceState `msgpack:"-"`
+	// AwaitRate lets the request wait for the instance's rate limit, because no
+	// other instance takes it. Between nodes it is part of the frame.
+	AwaitRate bool `msgpack:"-"`
 }
 
 // Answer is the response to a Request, encoded as an array too.
@@ -72,6 +78,13 @@
 	InstanceExit  *InstanceExit `msgpack:"ended,omitempty"` // set if the instance exited while the request was in progress
 	NoRetry       bool          `msgpack:"held,omitempty"`  // not run, and must not be sent to another instance
 	Piggyback     []byte        `msgpack:"news,omitempty"`  // quarantine reports piggybacked on an answer between nodes
+	// State is what the instance states about itself, known if Load is set.
+	// Between nodes it is part of the frame.
+	State InstanceState `msgpack:"-"`
+	// RateWait is set if the request was not run because of the instance's rate
+	// limit: the time until the limit is expected to admit another one. Between
+	// nodes it is part of the frame.
+	RateWait time.Duration `msgpack:"-"`
 }
 
 // InstanceExit describes the exit of an instance while a request was in
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -28,6 +28,9 @@
 	dialWait = 250 * time.Millisecond
 	// minRetryTime is the minimum time to the deadline for a retry.
 	minRetryTime = 20 * time.Millisecond
+	// maxRateRefusals is how many instances may refuse a request because of
+	// their rate limits before it waits for the limit of the next one.
+	maxRateRefusals = 8
 	// minQueueWait admits a request only if a slot is free immediately.
 	minQueueWait = time.Millisecond
 )
@@ -38,6 +41,10 @@
 	unreachable int  // nodes among tried
 	reached     int  // instances that received the request, or may have
 	mayHaveRun  bool // some instance may have executed the request
+	// rateRefusals counts the instances that refused the request because of
+	// their rate limits. They are not among tried: the request waits at one of
+	// them if all instances are limited.
+	rateRefusals int
 }
 
 // forward sends a request to instances of its service until one returns a
@@ -55,13 +62,13 @@
 	}
 	var att attempts
 	last := call.Refuse(q.Request, "no instance of "+q.Service, retryAfterNoInstance)
-	for range maxAttempts {
-		in, ok := n.balancer.Pick(n.pickCriteria(q, att.tried))
+	for len(att.tried) < maxAttempts {
+		to, ok := n.balancer.Pick(n.pickCriteria(q, att.tried))
 		if !ok {
 			break
 		}
-		att.tried = append(att.tried, in.ID)
-		last = n.attempt(ctx, q, in, &att)
+		q.AwaitRate = to.LastResort || att.rateRefusals >= maxRateRefusals
+		last = n.attempt(ctx, q, to, &att)
 		if !n.allowRetry(ctx, q, last, &att) {
 			break
 		}
@@ -71,7 +78,7 @@
 		// executed.
 		last = call.Answer{ID: q.ID, Status: call.Unknown, Reason: "an earlier try may have run; the last was refused: " + last.Reason}
 	}
-	if att.unreachable == len(att.tried) && n.stage(q.quarantine) == quarantine.Free {
+	if att.unreachable == len(att.tried) && att.rateRefusals == 0 && n.stage(q.quarantine) == quarantine.Free {
 		// No instance is reachable from here. Requests that depend on this
 		// route are then refused at the entry node, before they start.
 		n.thresholds.RecordUnreachable(q.route.Name, q.Service)
@@ -100,10 +107,15 @@
 }
 
 // attempt sends the request to one instance and records the result.
-func (n *Node) attempt(ctx context.Context, q *request, in directory.Instance, att *attempts) call.Answer {
+func (n *Node) attempt(ctx context.Context, q *request, in balance.Choice, att *attempts) call.Answer {
 	sent := time.Now()
 	a, reachable := n.send(ctx, q, in, att)
-	o := balance.Outcome{Route: q.route.Name, Unreachable: !reachable, Leaving: a.Leaving, Load: a.Load}
+	o := balance.Outcome{Route: q.route.Name, Unreachable: !reachable, Leaving: a.Leaving, Load: a.Load, State: a.State, RateWait: a.RateWait}
+	if a.RateWait > 0 {
+		att.rateRefusals++
+	} else {
+		att.tried = append(att.tried, in.ID)
+	}
 	switch {
 	case !reachable:
 		att.unreachable++
@@ -156,18 +168,18 @@
 
 // send sends the request to the node of an instance. If reachable is false,
 // the request was not executed.
-func (n *Node) send(ctx context.Context, q *request, in directory.Instance, att *attempts) (a call.Answer, reachable bool) {
+func (n *Node) send(ctx context.Context, q *request, in balance.Choice, att *attempts) (a call.Answer, reachable bool) {
 	r := q.Request
-	r.To = string(in.ID)
+	r.To, r.Known = string(in.ID), in.State
 	if !q.queueDeadline.IsZero() {
 		q.HTTP.MaxQueueWait = max(time.Until(q.queueDeadline), minQueueWait)
 	}
-	r.EndOnSuspicion = q.route.Idempotent && len(att.tried) < q.route.MaxInstances && n.retryBudget(q.Service).CanRetry()
+	r.EndOnSuspicion = q.route.Idempotent && len(att.tried)+1 < q.route.MaxInstances && n.retryBudget(q.Service).CanRetry()
 	r.Remaining = time.Until(q.deadline) - peerMargin
 	if in.Addr == n.cfg.TargetAddr {
 		return n.serveLocal(ctx, r), true
 	}
-	peer, err := n.peerFor(in)
+	peer, err := n.peerFor(in.Instance)
 	if err != nil {
 		return call.Refuse(r, err.Error(), 0), false
 	}
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -22,6 +22,7 @@
 	if !in.Unlisted {
 		n.vouchChecker.Observe(in)
 	}
+	n.statements.begin(in.Incarnation())
 	old := n.self.Swap(&in)
 	if old != nil && old.Incarnation() != in.Incarnation() {
 		// Failure statistics and connections belong to the previous process.
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -174,6 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.statements.gate = n.gate
 	n.untilDrain, n.startDrain = context.WithCancel(context.Background())
 	n.syncer = replication.New(n.syncerConfig(self))
 	n.limiter = account.NewLimiter()
--- /dev/null
+++ b/sidecar/rate_limit_restart_test.go
@@ -0,0 +1,82 @@
+package sidecar
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// restartNode stops the node of v without draining it and starts another, which
+// knows the directory but nothing of its target.
+func (m *mesh) restartNode(v *vm) {
+	close(v.node.stop)
+	v.node.callerServer.Close()
+	v.node.peerServer.CloseConns()
+	v.node.peers.Close()
+	<-v.served
+	m.startNode(v)
+	m.updateAll(2)
+}
+
+// Guards against a burst of requests to an instance with a rate limit when the
+// node beside it restarts and does not know of the limit.
+func TestRateLimitHoldsWhileItsNodeRestarts(t *testing.T) {
+	m := newMesh(t, "versand", "versand", "archiv", "archiv")
+	Convey("The nodes that know of the limit tell the restarted one", t, func() {
+		targets := limitTargets(m.vms[2:], 400*time.Millisecond)
+		targets[0].setLimit("0.5")
+		targets[1].setLimit("0.5")
+		m.load("/read/x", 1, 10*time.Millisecond, time.Second)
+		for _, v := range m.vms[2:] {
+			m.restartNode(v)
+			So(v.node.statements.get().RateLimit, ShouldEqual, 0)
+		}
+		codes := m.load("/read/x", 2, 5*time.Millisecond, 3*time.Second)
+		So(codes[http.StatusServiceUnavailable], ShouldBeGreaterThan, 0)
+		for _, l := range targets {
+			So(l.mostInWindow(), ShouldBeLessThanOrEqualTo, int(ruleRatio*0.5*ruleWindow.Seconds())+ruleSlack)
+		}
+	})
+}
+
+// Guards against a node that keeps to a limit of which another told it although
+// the target no longer states one.
+func TestRateLimitHeardFromPeerEndsWithFirstAnswer(t *testing.T) {
+	m := newMesh(t, "versand", "archiv")
+	Convey("The first answer of the target counts", t, func() {
+		targets := limitTargets(m.vms[1:], time.Millisecond)
+		targets[0].setLimit("0.25")
+		_, got := m.get(m.vms[0], "/read/x")
+		So(got.code, ShouldEqual, http.StatusOK)
+		m.restartNode(m.vms[1])
+		targets[0].setLimit("")
+		_, got = m.get(m.vms[0], "/read/x")
+		So(got.code, ShouldEqual, http.StatusOK)
+		So(m.vms[1].node.statements.get().RateLimit, ShouldEqual, 0)
+		for range 20 {
+			_, got = m.get(m.vms[0], "/read/x")
+			So(got.code, ShouldEqual, http.StatusOK)
+		}
+	})
+}
+
+// Guards against a limit of one request in seconds that refuses requests of a
+// high rank while it admits those of a low one.
+func TestRankDecidesWhichRequestsARateLimitedServiceTakes(t *testing.T) {
+	m := newMesh(t, "versand", "archiv", "archiv")
+	Convey("All requests of the first rank are served, reads are refused", t, func() {
+		targets := limitTargets(m.vms[1:], 5*time.Millisecond)
+		for _, l := range targets {
+			l.setLimit("8")
+		}
+		m.load("/read/x", 1, 10*time.Millisecond, 500*time.Millisecond)
+		reads := make(chan map[int]int, 1)
+		go func() { reads <- m.load("/read/x", 6, 10*time.Millisecond, 3*time.Second) }()
+		published := m.load("/publish/x", 1, time.Second, 3*time.Second)
+		refused := <-reads
+		So(published, ShouldResemble, map[int]int{http.StatusOK: published[http.StatusOK]})
+		So(refused[http.StatusServiceUnavailable], ShouldBeGreaterThan, 0)
+	})
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -25,6 +25,9 @@
 	// only while at most 1/probeSlotDivisor of its slots are busy, so that
 	// its recovery is noticed.
 	probeSlotDivisor = 16
+	// minRateWait is the least wait reported with a refusal because of the
+	// target's rate limit.
+	minRateWait = time.Millisecond
 )
 
 // servePeer handles a request from another node.
@@ -73,6 +76,7 @@
 		a.Leaving = true
 		return a
 	}
+	n.adoptKnown(r)
 	qs := n.quarantineStateOf(&r)
 	leave, ok := n.enterIsolation(ctx, &r, qs)
 	if !ok {
@@ -90,13 +94,11 @@
 		return n.withLoad(r, call.Refuse(r, "target: too slow for the time left", 0))
 	}
 	n.thresholds.ObserveLevel(r.HTTP.Level)
-	n.meter.RecordArrival(r.HTTP.Level, n.targetTimes.Mean(r.Operation, initialTargetTime), n.gate.QueuedWork())
-	waited, err := n.gate.Acquire(ctx, slots.Ticket{Level: r.HTTP.Level, Deadline: deadline, MaxQueueWait: r.HTTP.MaxQueueWait})
+	n.recordArrival(r)
+	waited, err := n.gate.Acquire(ctx, slots.Ticket{Level: r.HTTP.Level, Deadline: deadline, MaxQueueWait: r.HTTP.MaxQueueWait, AwaitRate: r.AwaitRate})
 	n.stats.observeQueueWait(r.HTTP.Child, err == nil, waited)
 	if err != nil {
-		a := call.Refuse(r, "target: "+err.Error()+" after "+waited.String(), 0)
-		a.Leaving = errors.Is(err, slots.ErrLeaving)
-		return n.withLoad(r, a)
+		return n.withLoad(r, n.notAdmitted(r, err, waited))
 	}
 	if !n.stillAllowed(qs) {
 		n.gate.Release(0)
@@ -134,6 +136,32 @@
 	return a
 }
 
+// recordArrival records the demand of a request for the local target. Where the
+// target's rate limit is what bounds it, only requests that no other instance
+// takes count: the limit of one instance is no reason to refuse requests that
+// others have room for.
+func (n *Node) recordArrival(r call.Request) {
+	work := n.targetTimes.Mean(r.Operation, initialTargetTime)
+	if slotTime, bound := n.gate.RateBound(); bound {
+		if !r.AwaitRate {
+			return
+		}
+		work = slotTime
+	}
+	n.meter.RecordArrival(r.HTTP.Level, work, n.gate.QueuedWork())
+}
+
+// notAdmitted returns the answer to a request that the gate of the local target
+// refused.
+func (n *Node) notAdmitted(r call.Request, err error, waited time.Duration) call.Answer {
+	a := call.Refuse(r, "target: "+err.Error()+" after "+waited.String(), 0)
+	a.Leaving = errors.Is(err, slots.ErrLeaving)
+	if errors.Is(err, slots.ErrRateLimited) {
+		a.RateWait = max(n.gate.RateWait(), minRateWait)
+	}
+	return a
+}
+
 // canMeetDeadline reports whether the local target can finish a request
 // before its deadline at its current slowdown. If it cannot, another instance
 // can still execute the request. While few slots are busy it always returns
@@ -175,7 +203,7 @@
 	if local := n.meter.Threshold(); local < l.Threshold {
 		l.Threshold, l.Bottleneck = local, n.cfg.Service
 	}
-	a.Load = &l
+	a.Load, a.State = &l, n.statements.get()
 	return a
 }
 
--- a/sidecar/statement.go
+++ b/sidecar/statement.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/slots"
 	"github.com/rotisserie/eris"
 )
 
@@ -31,11 +32,14 @@
 		leaving   bool
 	}
 
-	// statements holds what the local target states about itself. Safe for
-	// concurrent use.
+	// statements holds what the local target states about itself and applies
+	// its rate limit. Safe for concurrent use.
 	statements struct {
+		gate *slots.Gate // of the local target
+
 		mu        sync.Mutex
 		of        directory.Incarnation
+		answered  bool // the target has answered a request since the node's start
 		state     call.InstanceState
 		limitedAt time.Time // when the last answer with a rate limit arrived
 	}
@@ -67,10 +71,9 @@
 func (s *statements) record(of directory.Incarnation, st statement, sent time.Time) (before, after call.InstanceState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.of != of {
-		s.of, s.state, s.limitedAt = of, call.InstanceState{}, time.Time{}
-	}
+	s.beginLocked(of)
 	before = s.state
+	s.answered = true
 	s.state.Leaving = s.state.Leaving || st.leaving
 	switch {
 	case st.rateLimit > 0:
@@ -80,9 +83,52 @@
 	case sent.After(s.limitedAt):
 		s.state.RateLimit = 0
 	}
+	s.apply(before)
+	return before, s.state
+}
+
+// adopt applies the rate limit that another node knows of the target from before
+// this node started, the lowest of several, until the target answers here. It
+// returns the state before and after.
+func (s *statements) adopt(of directory.Incarnation, known call.InstanceState) (before, after call.InstanceState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beginLocked(of)
+	before = s.state
+	if !s.answered && (before.RateLimit == 0 || known.RateLimit < before.RateLimit) {
+		s.state.RateLimit = known.RateLimit
+	}
+	s.apply(before)
 	return before, s.state
 }
 
+// begin discards what an earlier run of the target stated.
+func (s *statements) begin(of directory.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beginLocked(of)
+}
+
+func (s *statements) beginLocked(of directory.Incarnation) {
+	if s.of == of {
+		return
+	}
+	// A node whose directory does not list its target yet knows only its ID.
+	if s.of.ID != of.ID || (s.of.At != 0 && of.At != 0) {
+		before := s.state
+		s.answered, s.state, s.limitedAt = false, call.InstanceState{}, time.Time{}
+		s.apply(before)
+	}
+	s.of = of
+}
+
+// apply passes a changed rate limit to the gate.
+func (s *statements) apply(before call.InstanceState) {
+	if s.state.RateLimit != before.RateLimit {
+		s.gate.SetRate(s.state.RateLimit)
+	}
+}
+
 // get returns what the target states.
 func (s *statements) get() call.InstanceState {
 	s.mu.Lock()
@@ -100,17 +146,33 @@
 			return log.Fields{"id": r.ID, "instance": r.To, "error": err.Error()}
 		})
 	}
-	before, after := n.statements.record(n.incarnationOf(r.To), st, sent)
-	if before.RateLimit != after.RateLimit {
-		n.decisions.Log("rate_limit_changed", func() log.Fields {
-			return log.Fields{"id": r.ID, "instance": r.To, "from_per_s": before.RateLimit, "to_per_s": after.RateLimit}
-		})
-	}
+	of := n.incarnationOf(r.To)
+	before, after := n.statements.record(of, st, sent)
+	n.logRateLimit(r, before, after)
 	if before.Leaving != after.Leaving {
 		n.log.WithFields(log.Fields{"id": r.ID, "instance": r.To}).Info("target_leaving")
 	}
 }
 
+// adoptKnown applies what the sender of a request knows of the local target, in
+// case this node has restarted and has not heard of it yet.
+func (n *Node) adoptKnown(r call.Request) {
+	if r.Known.RateLimit == 0 {
+		return
+	}
+	before, after := n.statements.adopt(n.incarnationOf(r.To), r.Known)
+	n.logRateLimit(r, before, after)
+}
+
+func (n *Node) logRateLimit(r call.Request, before, after call.InstanceState) {
+	if before.RateLimit == after.RateLimit {
+		return
+	}
+	n.decisions.Log("rate_limit_changed", func() log.Fields {
+		return log.Fields{"id": r.ID, "instance": r.To, "from_per_s": before.RateLimit, "to_per_s": after.RateLimit}
+	})
+}
+
 // incarnationOf returns the run of the local target that a request sent to an
 // instance reached.
 func (n *Node) incarnationOf(id string) directory.Incarnation {
--- a/sidecar/statement_test.go
+++ b/sidecar/statement_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/slots"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -53,7 +54,7 @@
 func TestRateLimitEndsByLaterAnswerOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("An answer without a limit counts if its request was sent after the last answer with one", t, func() {
-			var s statements
+			s := statements{gate: slots.NewGate(10, slots.DefaultQueueOrder())}
 			run, next := directory.Incarnation{ID: "i", At: 1}, directory.Incarnation{ID: "i", At: 2}
 			early := time.Now()
 			time.Sleep(time.Second)
@@ -75,7 +76,7 @@
 			So(got, ShouldResemble, call.InstanceState{})
 		})
 		Convey("A target that has stated that it leaves does not come back", t, func() {
-			var s statements
+			s := statements{gate: slots.NewGate(10, slots.DefaultQueueOrder())}
 			run := directory.Incarnation{ID: "i"}
 			s.record(run, statement{leaving: true}, time.Now())
 			_, got := s.record(run, statement{}, time.Now())
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -16,12 +16,18 @@
 	// initialServiceTime is the mean service time assumed until one is
 	// measured.
 	initialServiceTime = 50 * time.Millisecond
+	// rateWaitDivisor determines the fraction of its remaining time that the
+	// first request in line may wait for a rate limit.
+	rateWaitDivisor = 2
 )
 
 var (
 	// ErrTooLate is returned for a request that would miss its deadline, or
 	// that exceeded its MaxQueueWait in the queue.
 	ErrTooLate = eris.New("would not be done in time")
+	// ErrRateLimited is returned for a request that would have to wait for the
+	// target's rate limit although its Ticket does not ask for it.
+	ErrRateLimited = eris.New("target is at its rate limit")
 	// ErrLeaving is returned while the gate is closed because the target
 	// accepts no new requests.
 	ErrLeaving = eris.New("target is leaving")
@@ -35,10 +41,13 @@
 		// MaxQueueWait is the longest time to wait in the queue; 0 means until
 		// Deadline.
 		MaxQueueWait time.Duration
+		// AwaitRate lets the request wait for the target's rate limit. Without
+		// it, it is refused at once, to be sent to another instance.
+		AwaitRate bool
 	}
 
-	// Gate limits the number of requests that are at a target concurrently
-	// and queues the rest. A queued request can still be refused as not run,
+	// Gate limits the number of requests that are at a target concurrently,
+	// and the rate at which it gets them, and queues the rest. A queued request can still be refused as not run,
 	// whereas one sent to an overloaded target may remain unanswered. It is
 	// safe for concurrent use.
 	Gate struct {
@@ -50,12 +59,14 @@
 		meanServiceTime time.Duration
 		queue           PriorityQueue[*waiter]
 		closed          bool
+		rate            *rateLimit // nil for none
 	}
 
 	waiter struct {
 		ticket   Ticket
 		enqueued time.Time
-		result   chan error // buffered; receives nil when admitted
+		patience time.Duration // longest time to wait
+		result   chan error    // buffered; receives nil when admitted
 	}
 )
 
@@ -74,40 +85,98 @@
 	g.admitWaiting()
 }
 
+// SetRate limits the number of requests that are sent to the target per second;
+// 0 removes the limit.
+func (g *Gate) SetRate(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case perSecond == 0:
+		g.rate.stop()
+		g.rate = nil
+	case g.rate == nil:
+		g.rate = newRateLimit(perSecond)
+		g.refuseUnlessAwaiting()
+	default:
+		g.rate.set(perSecond)
+	}
+	g.admitWaiting()
+}
+
+// refuseUnlessAwaiting refuses the queued requests that do not wait for a rate
+// limit.
+func (g *Gate) refuseUnlessAwaiting() {
+	var awaiting []*waiter
+	for w, ok := g.queue.Pop(); ok; w, ok = g.queue.Pop() {
+		if w.ticket.AwaitRate {
+			awaiting = append(awaiting, w)
+			continue
+		}
+		w.result <- ErrRateLimited
+	}
+	for _, w := range awaiting {
+		g.queue.Push(g.order.queueLevel(w.ticket), w)
+	}
+}
+
+// refuseOvertaken refuses the queued requests that the rate limit will not admit
+// in time any more, because others of lower levels have arrived. They can still
+// be sent to another instance.
+func (g *Gate) refuseOvertaken(now time.Time) {
+	if g.rate == nil {
+		return
+	}
+	var overtaken []*waiter
+	place := 1
+	for w := range g.queue.All() {
+		if g.rate.wait(now, place) > w.patience-now.Sub(w.enqueued) {
+			overtaken = append(overtaken, w)
+			continue
+		}
+		place++
+	}
+	for _, w := range overtaken {
+		g.queue.Remove(g.order.queueLevel(w.ticket), func(o *waiter) bool { return o == w })
+		w.result <- ErrTooLate
+	}
+}
+
 // Acquire waits until the request may be sent to the target and returns the
-// time spent in the queue. The error is ErrTooLate, ErrLeaving or that of
-// ctx. If it is nil, the caller must call Release.
+// time spent in the queue. The error is ErrTooLate, ErrRateLimited, ErrLeaving
+// or that of ctx. If it is nil, the caller must call Release.
 func (g *Gate) Acquire(ctx context.Context, t Ticket) (time.Duration, error) {
 	g.mu.Lock()
 	if g.closed {
 		g.mu.Unlock()
 		return 0, ErrLeaving
 	}
-	if g.inFlight < g.limit && g.queue.Len() == 0 {
+	now := time.Now()
+	if g.inFlight < g.limit && g.queue.Len() == 0 && g.rate.take(now) {
 		g.inFlight++
 		g.mu.Unlock()
 		return 0, nil
 	}
-	now := time.Now()
-	expected := g.expectedWait(t)
-	if now.Add(expected+g.meanServiceTime).After(t.Deadline) || (t.MaxQueueWait > 0 && expected > t.MaxQueueWait) {
+	if !t.AwaitRate && g.rate.wait(now, g.queue.Len()+1) > g.slotWait(g.queue.Len()+1) {
+		g.mu.Unlock()
+		return 0, ErrRateLimited
+	}
+	expected, patience := g.expectedWait(t, now), g.patience(t, now)
+	if now.Add(expected+g.meanServiceTime).After(t.Deadline) || expected > patience {
 		g.mu.Unlock()
 		return 0, ErrTooLate
 	}
-	w := &waiter{ticket: t, enqueued: now, result: make(chan error, 1)}
+	w := &waiter{ticket: t, enqueued: now, patience: patience, result: make(chan error, 1)}
 	g.queue.Push(g.order.queueLevel(t), w)
+	g.refuseOvertaken(now)
+	g.admitWaiting()
 	g.mu.Unlock()
 	return g.wait(ctx, w)
 }
 
 func (g *Gate) wait(ctx context.Context, w *waiter) (time.Duration, error) {
-	timeout := time.Until(w.ticket.Deadline)
-	if w.ticket.MaxQueueWait > 0 {
-		// Requests of lower levels that arrive later are served first, so
-		// the wait can exceed expectedWait.
-		timeout = min(timeout, w.ticket.MaxQueueWait)
-	}
-	timer := time.NewTimer(timeout)
+	// Requests of lower levels that arrive later are served first, so the wait
+	// can exceed expectedWait.
+	timer := time.NewTimer(w.patience)
 	defer timer.Stop()
 	var err error
 	select {
@@ -170,40 +239,100 @@
 }
 
 // Load returns the number of requests at the target and in the queue, and
-// the limit.
+// how many can be at the target by its slots and its rate limit.
 func (g *Gate) Load() call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return call.Load{InFlight: g.inFlight, Queued: g.queue.Len(), Limit: g.limit}
+	return call.Load{InFlight: g.inFlight, Queued: g.queue.Len(), Limit: min(g.limit, g.rate.concurrency(g.meanServiceTime))}
+}
+
+// RateWait returns how long a request that arrives now would wait for the rate
+// limit.
+func (g *Gate) RateWait() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rate.wait(time.Now(), g.queue.Len()+1)
+}
+
+// RateBound reports whether the rate limit admits less than the slots do, and
+// returns the slot time that each request then takes of the target's capacity.
+func (g *Gate) RateBound() (slotTime time.Duration, bound bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	slotTime = g.slotTime()
+	return slotTime, slotTime > g.meanServiceTime
 }
 
 // QueuedWork returns the slot time expected for the queued requests.
 func (g *Gate) QueuedWork() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return time.Duration(g.queue.Len()) * g.meanServiceTime
+	return time.Duration(g.queue.Len()) * g.slotTime()
+}
+
+// slotTime returns the slot time that one request takes of the target's
+// capacity: its service time, or all slots for the time in which the rate limit
+// admits one request if that is longer.
+func (g *Gate) slotTime() time.Duration {
+	return max(g.meanServiceTime, time.Duration(g.limit)*g.rate.interval())
 }
 
-// admitWaiting admits queued requests while there are free slots. It refuses
-// those that would miss their deadline, whose result nobody would receive.
+// admitWaiting admits queued requests while there are free slots and the rate
+// limit allows. It refuses those that would miss their deadline, whose result
+// nobody would receive.
 func (g *Gate) admitWaiting() {
-	for g.inFlight < g.limit {
-		w, ok := g.queue.Pop()
-		if !ok {
+	for g.inFlight < g.limit && g.queue.Len() > 0 {
+		now := time.Now()
+		if wait := g.rate.wait(now, 1); wait > 0 {
+			g.rate.wakeAfter(wait, g.admitLater)
 			return
 		}
-		if time.Now().Add(g.meanServiceTime / 2).After(w.ticket.Deadline) {
+		w, _ := g.queue.Pop()
+		if now.Add(g.meanServiceTime / 2).After(w.ticket.Deadline) {
 			w.result <- ErrTooLate
 			continue
 		}
+		g.rate.take(now)
 		g.inFlight++
 		w.result <- nil
 	}
 }
 
+// admitLater admits queued requests when the rate limit allows the next one.
+func (g *Gate) admitLater() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rate.stop()
+	g.admitWaiting()
+}
+
 // expectedWait estimates the queueing time of a new request from the number
-// of requests ahead of it and the mean service time.
-func (g *Gate) expectedWait(t Ticket) time.Duration {
-	ahead := g.queue.Ahead(g.order.queueLevel(t)) + 1
-	return time.Duration(ahead) * g.meanServiceTime / time.Duration(g.limit)
+// of requests ahead of it, the mean service time and the rate limit.
+func (g *Gate) expectedWait(t Ticket, now time.Time) time.Duration {
+	place := g.queue.Ahead(g.order.queueLevel(t)) + 1
+	return max(g.slotWait(place), g.rate.wait(now, place))
+}
+
+// patience returns the longest time that a new request waits in the queue. The
+// first in line for a rate limit may wait beyond MaxQueueWait: at a low limit
+// all requests would otherwise be refused until shortly before the next one is
+// admitted, and the time of arrival instead of the rank would decide which.
+func (g *Gate) patience(t Ticket, now time.Time) time.Duration {
+	left := t.Deadline.Sub(now)
+	switch {
+	case t.MaxQueueWait <= 0:
+		return left
+	case t.AwaitRate && g.queue.Ahead(g.order.queueLevel(t)) == 0:
+		return max(min(left, t.MaxQueueWait), left/rateWaitDivisor)
+	}
+	return min(left, t.MaxQueueWait)
+}
+
+// slotWait estimates how long the request at a place in the queue, from 1,
+// waits for a slot.
+func (g *Gate) slotWait(place int) time.Duration {
+	if g.inFlight+place <= g.limit {
+		return 0
+	}
+	return time.Duration(place) * g.meanServiceTime / time.Duration(g.limit)
 }
--- a/slots/queue.go
+++ b/slots/queue.go
@@ -1,5 +1,7 @@
 package slots
 
+import "iter"
+
 // PriorityQueue is a queue with priority levels: Pop returns the oldest
 // entry of the lowest non-empty level. The zero value is an empty queue. It
 // is not safe for concurrent use.
@@ -59,5 +61,18 @@
 	return n
 }
 
+// All returns the entries in the order in which Pop returns them.
+func (q *PriorityQueue[T]) All() iter.Seq[T] {
+	return func(yield func(T) bool) {
+		for _, entries := range q.queues {
+			for _, v := range entries {
+				if !yield(v) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Len returns the number of entries.
 func (q *PriorityQueue[T]) Len() int { return q.n }
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -1,6 +1,9 @@
 package wire
 
 import (
+	"errors"
+	"time"
+
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/message"
 	"github.com/vmihailenco/msgpack/v5"
@@ -25,6 +28,16 @@
 		ConfigVersion uint64        `msgpack:"config"`         // active configuration version of the sender
 		From          string        `msgpack:"from,omitempty"` // instance name of the sender of a request
 	}
+
+	// extension is an optional last field of a Frame: the parts of its request
+	// or answer that are rarely set. Versions that do not know it skip it.
+	extension struct {
+		_msgpack  struct{}      `msgpack:",as_array"`
+		RateLimit float64       // call.InstanceState of the request or answer
+		Leaving   bool          // of the same
+		AwaitRate bool          // call.Request.AwaitRate
+		RateWait  time.Duration // call.Answer.RateWait
+	}
 )
 
 const (
@@ -41,14 +54,66 @@
 	KindCancel
 )
 
+// frameFields is the number of fields of a Frame without an extension.
+const frameFields = 6
+
 // namedFrame decodes a Frame encoded as a map; it lacks the DecodeMsgpack method.
 type namedFrame Frame
 
+// EncodeMsgpack implements msgpack.CustomEncoder. A frame without an extension
+// is encoded as by versions that have none.
+func (f *Frame) EncodeMsgpack(e *msgpack.Encoder) error {
+	x, n := f.extension(), frameFields
+	if x != (extension{}) {
+		n++
+	}
+	err := errors.Join(e.EncodeArrayLen(n), e.EncodeUint8(uint8(f.Kind)), e.EncodeUint64(uint64(f.Stream)), e.Encode(f.Request), e.Encode(f.Answer),
+		e.EncodeUint64(f.ConfigVersion), e.EncodeString(f.From))
+	if n == frameFields || err != nil {
+		return err
+	}
+	return e.Encode(&x)
+}
+
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (f *Frame) DecodeMsgpack(d *msgpack.Decoder) error {
 	*f = Frame{}
 	if message.IsMap(d) {
 		return d.Decode((*namedFrame)(f))
 	}
-	return message.DecodeArray(d, (*uint8)(&f.Kind), (*uint64)(&f.Stream), &f.Request, &f.Answer, &f.ConfigVersion, &f.From)
+	var x extension
+	if err := message.DecodeArray(d, (*uint8)(&f.Kind), (*uint64)(&f.Stream), &f.Request, &f.Answer, &f.ConfigVersion, &f.From, &x); err != nil {
+		return err
+	}
+	f.extend(x)
+	return nil
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (x *extension) DecodeMsgpack(d *msgpack.Decoder) error {
+	*x = extension{}
+	return message.DecodeArray(d, &x.RateLimit, &x.Leaving, &x.AwaitRate, &x.RateWait)
+}
+
+// extension returns the parts of the request or answer that are encoded in the
+// extension.
+func (f *Frame) extension() extension {
+	switch {
+	case f.Request != nil:
+		return extension{RateLimit: f.Request.Known.RateLimit, Leaving: f.Request.Known.Leaving, AwaitRate: f.Request.AwaitRate}
+	case f.Answer != nil:
+		return extension{RateLimit: f.Answer.State.RateLimit, Leaving: f.Answer.State.Leaving, RateWait: f.Answer.RateWait}
+	}
+	return extension{}
+}
+
+// extend sets the parts of the request or answer from an extension.
+func (f *Frame) extend(x extension) {
+	state := call.InstanceState{RateLimit: x.RateLimit, Leaving: x.Leaving}
+	switch {
+	case f.Request != nil:
+		f.Request.Known, f.Request.AwaitRate = state, x.AwaitRate
+	case f.Answer != nil:
+		f.Answer.State, f.Answer.RateWait = state, x.RateWait
+	}
 }
