Send nothing more to instances that state that they leave

Cause: the header was read by no node, as that of the rate limit. The node beside the instance now takes it as leaving, like one that the store lists so: it refuses new and queued requests as not run, and each node that gets an answer of it takes it as leaving too. That is remembered by run of the instance, not with its entry: the store may still list it as in service, lose the entry and list it again, or be out of reach, and the node beside it may restart. It is told to no other nodes, since all that send there hear it with the answer. An instance whose entry goes after it said so is dropped at once, and its node does not confirm it.

The class is the same: what an instance states of itself in its answers was not looked at.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -72,6 +72,7 @@
 		instances      map[InstanceID]Instance
 		unlisted       map[InstanceID]unlisted // instances kept although their entries were removed
 		doubts         doubts                  // about entries that a restored source lists
+		statedLeavings statedLeavings
 		removals       removals
 		source         sourceStatus
 		graceEnds      time.Time     // end of the grace period after an outage
@@ -92,7 +93,7 @@
 
 // New returns an empty Directory.
 func New(cfg Config) *Directory {
-	d := &Directory{cfg: cfg, log: cfg.Log, instances: map[InstanceID]Instance{}, unlisted: map[InstanceID]unlisted{}, doubts: doubts{}, removals: newRemovals(),
+	d := &Directory{cfg: cfg, log: cfg.Log, instances: map[InstanceID]Instance{}, unlisted: map[InstanceID]unlisted{}, doubts: doubts{}, statedLeavings: statedLeavings{}, removals: newRemovals(),
 		deltaApplied: make(chan struct{}, 1), advanced: make(chan struct{})}
 	d.view.Store(newView(nil, nil))
 	return d
@@ -241,7 +242,7 @@
 func (d *Directory) remove(id InstanceID, at Revision) {
 	in, ok := d.instances[id]
 	doubt, doubted := d.doubts[id]
-	left := in.Leaving || doubt.left
+	left := d.isLeaving(&in) || doubt.left
 	d.removals.add(id, removedEntry{at: at, started: in.Started, left: left})
 	if !ok || in.Revision > at {
 		return
@@ -279,7 +280,7 @@
 		in.Unlisted, in.Unconfirmed = ok, ok && !u.confirmed
 		d.instances[id] = in
 	}
-	v := newView(d.routes, d.doubts.applyTo(d.instances))
+	v := newView(d.routes, d.statedLeavings.applyTo(d.doubts.applyTo(d.instances)))
 	d.view.Store(v)
 	for _, f := range d.onChange {
 		f(v)
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -116,6 +116,9 @@
 	} else {
 		att.tried = append(att.tried, in.ID)
 	}
+	if a.State.Leaving {
+		n.dir.MarkLeaving(in.Incarnation())
+	}
 	switch {
 	case !reachable:
 		att.unreachable++
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -35,7 +35,7 @@
 		n.gate.SetLimit(usable)
 		n.meter.SetSlots(usable)
 	}
-	if in.Leaving {
+	if in.Leaving || n.statements.get().Leaving {
 		// Queued requests have not been executed and can go to other
 		// instances.
 		n.gate.Close()
--- a/sidecar/rate_limit_restart_test.go
+++ b/sidecar/rate_limit_restart_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -62,6 +63,26 @@
 	})
 }
 
+// Guards against requests to a leaving instance when the node beside it restarts
+// and the directory still lists the instance as in service.
+func TestLeavingInstanceGetsNoRequestsWhenItsNodeRestarts(t *testing.T) {
+	m := newMesh(t, "versand", "archiv", "archiv")
+	Convey("A node that has passed on that it leaves does not send to it again", t, func() {
+		targets := limitTargets(m.vms[1:], time.Millisecond)
+		targets[0].leaving, targets[1].leaving = true, true
+		for range 2 {
+			_, got := m.get(m.vms[0], "/read/x")
+			So(got.code, ShouldEqual, http.StatusOK)
+		}
+		for _, v := range m.vms[1:] {
+			m.restartNode(v)
+		}
+		id, got := m.send(context.Background(), m.vms[0], http.MethodGet, "/read/x", "", nil)
+		So(got.code, ShouldEqual, http.StatusServiceUnavailable)
+		So(m.vms[1].target.runCount(id)+m.vms[2].target.runCount(id), ShouldEqual, 0)
+	})
+}
+
 // Guards against a limit of one request in seconds that refuses requests of a
 // high rank while it admits those of a low one.
 func TestRankDecidesWhichRequestsARateLimitedServiceTakes(t *testing.T) {
--- a/sidecar/statement.go
+++ b/sidecar/statement.go
@@ -150,7 +150,7 @@
 	before, after := n.statements.record(of, st, sent)
 	n.logRateLimit(r, before, after)
 	if before.Leaving != after.Leaving {
-		n.log.WithFields(log.Fields{"id": r.ID, "instance": r.To}).Info("target_leaving")
+		n.dir.MarkLeaving(of)
 	}
 }
 
--- a/sidecar/vouch.go
+++ b/sidecar/vouch.go
@@ -148,9 +148,10 @@
 }
 
 // vouch reports whether this node vouches for the local instance. A draining
-// node does not, because it will not be there to revoke it.
+// node does not, because it will not be there to revoke it, and none does for an
+// instance that has stated that it leaves.
 func (n *Node) vouch(ctx context.Context, incarnation directory.Incarnation) bool {
-	if _, draining := n.drainingSince(); draining {
+	if _, draining := n.drainingSince(); draining || n.dir.HasStatedLeaving(incarnation) {
 		return false
 	}
 	vouched := n.vouchChecker.Vouch(ctx, incarnation)
