Heed what peers know of a rate limit while the target's is malformed

A node that restarted beside a target whose stated limit is no number at that moment took the first such answer for a statement of no limit, and from then on ignored what the nodes that send to it knew: the target got requests without bound until it stated a number again. Only a valid limit, or an answer without one, overrides what peers know now.

TestMalformedRateLimitIsNoAnswerToWhatPeersKnow failed (0 in place of 3).

--- a/sidecar/statement.go
+++ b/sidecar/statement.go
@@ -39,7 +39,7 @@
 
 		mu        sync.Mutex
 		of        directory.Incarnation
-		answered  bool // the target has answered a request since the node's start
+		answered  bool // the target has stated a valid limit, or none, since the node's start
 		state     call.InstanceState
 		limitedAt time.Time // when the last answer with a rate limit arrived
 	}
@@ -73,7 +73,7 @@
 	defer s.mu.Unlock()
 	s.beginLocked(of)
 	before = s.state
-	s.answered = true
+	s.answered = s.answered || !st.invalid
 	s.state.Leaving = s.state.Leaving || st.leaving
 	switch {
 	case st.rateLimit > 0:
--- a/sidecar/statement_test.go
+++ b/sidecar/statement_test.go
@@ -85,6 +85,29 @@
 	})
 }
 
+// Guards against a restarted node that takes a malformed rate limit of its target
+// for none, and no longer heeds what other nodes know.
+func TestMalformedRateLimitIsNoAnswerToWhatPeersKnow(t *testing.T) {
+	Convey("What a peer knows holds until the target states a limit or none", t, func() {
+		s := statements{gate: slots.NewGate(10, slots.DefaultQueueOrder())}
+		run := directory.Incarnation{ID: "i"}
+		_, got := s.record(run, statement{invalid: true}, time.Now())
+		So(got.RateLimit, ShouldEqual, 0)
+		_, got = s.adopt(run, call.InstanceState{RateLimit: 3})
+		So(got.RateLimit, ShouldEqual, 3)
+		_, got = s.adopt(run, call.InstanceState{RateLimit: 2})
+		So(got.RateLimit, ShouldEqual, 2)
+		_, got = s.adopt(run, call.InstanceState{RateLimit: 5})
+		So(got.RateLimit, ShouldEqual, 2)
+		_, got = s.record(run, statement{invalid: true}, time.Now())
+		So(got.RateLimit, ShouldEqual, 2)
+		_, got = s.record(run, statement{}, time.Now())
+		So(got.RateLimit, ShouldEqual, 0)
+		_, got = s.adopt(run, call.InstanceState{RateLimit: 2})
+		So(got.RateLimit, ShouldEqual, 0)
+	})
+}
+
 // Guards against a limit that no log line or metric shows.
 func TestStatementsOfTargetAreShown(t *testing.T) {
 	m := newMesh(t, "versand", "archiv")
