Let targets of the soak state rate limits and that they leave

Several at a time state limits from 0 and 0.3 to 30 requests a second, which change, end, or are malformed, or that they leave without a word of it in the store, while nodes restart, are killed, paused or cut off. Checked against what callers were told: no target gets in 4 s more than one and a half times its limit and 5 requests from nodes that had passed on an answer with it half a second before, or a request sent 2 s after its node had passed on that it leaves, unless that node was restarted, killed or paused since; and each target whose limit ended gets requests again when the deployment has recovered.

Logs of a run that fails are kept from now on, and the check says where and from which moment on.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -24,9 +24,11 @@
 	r := rand.New(rand.NewPCG(seed, 0))
 	var wg sync.WaitGroup
 	// Separate generators keep the faults drawn for a seed independent of the
-	// poison requests and the restores of the store.
+	// poison requests, the statements of targets and the restores of the store.
 	poisonRand := rand.New(rand.NewPCG(seed, 1))
 	wg.Go(func() { sendPoisonRequests(d, poisonRand, period) })
+	statesRand := rand.New(rand.NewPCG(seed, 3))
+	wg.Go(func() { makeTargetsState(d, statesRand, period) })
 	restoreRand := rand.New(rand.NewPCG(seed, 2))
 	wg.Go(func() { restoreStore(d, restoreRand, period) })
 	for deadline := time.Now().Add(period); time.Now().Before(deadline); time.Sleep(randomMillis(r, 50, 400)) {
@@ -45,30 +47,36 @@
 func restartNode(d *deployment, v *vm, _ *rand.Rand) {
 	v.faultMu.Lock()
 	defer v.faultMu.Unlock()
+	v.outages.start()
 	v.cmd.Process.Signal(syscall.SIGTERM)
 	d.waitNode(v, shutdownGrace+shutdownSlack)
 	d.startNode(v)
+	v.outages.finish()
 }
 
 func killNode(d *deployment, v *vm, r *rand.Rand) {
 	v.faultMu.Lock()
 	defer v.faultMu.Unlock()
 	v.disruptions.start()
+	v.outages.start()
 	v.cmd.Process.Kill()
 	v.cmd.Wait()
 	time.Sleep(randomMillis(r, 0, 800))
 	d.startNode(v)
 	v.disruptions.finish()
+	v.outages.finish()
 }
 
 func pauseNode(_ *deployment, v *vm, r *rand.Rand) {
 	v.faultMu.Lock()
 	defer v.faultMu.Unlock()
 	v.disruptions.start()
+	v.outages.start()
 	v.cmd.Process.Signal(syscall.SIGSTOP)
 	time.Sleep(randomMillis(r, 100, 1500))
 	v.cmd.Process.Signal(syscall.SIGCONT)
 	v.disruptions.finish()
+	v.outages.finish()
 }
 
 // sendSIGHUP sends SIGHUP to a node that has been up for at least a second, so
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,7 +16,8 @@
 
 	// regressionSeeds are seeds that failed before, each with the cause.
 	regressionSeeds = []uint64{
-		1, // a stopping node accepted reads after its last response
+		1,  // a stopping node accepted reads after its last response
+		13, // a restarted node took a malformed rate limit for none
 	}
 )
 
@@ -39,8 +40,10 @@
 // Guards against duplicate execution of non-idempotent requests, execution of
 // refused ones, wrong or truncated responses, connections lost in planned stops
 // and a failure to recover after concurrent faults. Also guards against a poison
-// request that keeps crashing instances, and against changes that some nodes do
-// not learn of after the store was restored from a backup.
+// request that keeps crashing instances, against changes that some nodes do not
+// learn of after the store was restored from a backup, and against requests that
+// targets get beyond the rate limits that they state or after they state that
+// they leave.
 func TestInvariantsUnderFaults(t *testing.T) {
 	bin := buildBinary(t)
 	seeds := append([]uint64{}, regressionSeeds...)
@@ -64,19 +67,25 @@
 func checkInvariants(t *testing.T, bin string, seed uint64, period time.Duration) {
 	Convey(fmt.Sprintf("Seed %d", seed), t, func() {
 		d := startDeployment(t, bin, seed)
+		passed := false
+		defer func() { d.keepLogsUnless(passed) }()
 		defer d.stop()
 		d.waitServing(10 * time.Second)
 		d.injectFaults(seed, period)
 		time.Sleep(recoveryTime)
+		recovered := time.Now()
 		successRate := d.successRate(observationTime)
+		unused := d.unusedTargets(recovered)
 		unheard := d.changesLostInRestore()
 		furtherCrashes := d.sendPoisonAfterRecovery()
 		d.stopCallers()
 		d.restarts.Wait()
 		So(unheard, ShouldBeEmpty)
+		So(unused, ShouldBeEmpty)
 		So(d.violations(), ShouldBeEmpty)
 		So(successRate, ShouldBeGreaterThan, minSuccessRate)
 		So(furtherCrashes, ShouldBeLessThanOrEqualTo, maxFurtherCrashes)
+		passed = true
 		t.Logf("seed %d: %s; %d targets crashed by the poison request, %d of them after recovery", seed, d.statusCounts(), d.crashCount(), furtherCrashes)
 	})
 }
--- a/soak/target.go
+++ b/soak/target.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oatpin/oatpin/call"
@@ -23,16 +25,22 @@
 	listener net.Listener
 	srv      *http.Server
 
+	run string // identifies this target among all with its ID; its signature
+
 	mu        sync.Mutex
 	runs      map[string]int // number of executions by request ID
 	unhealthy bool
 	onPoison  func()
+	statements
 }
 
 // poisonBody is the body of a request that makes the target executing it call
 // the function set by SetOnPoison.
 const poisonBody = "fatal"
 
+// targetCount is the number of targets started.
+var targetCount atomic.Int64
+
 // healthPath is the path of a Target's health check.
 const healthPath = "/health"
 
@@ -43,7 +51,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "target at %s", addr)
 	}
-	t := &Target{id: id, headers: h, listener: listener, runs: map[string]int{}}
+	t := &Target{id: id, headers: h, listener: listener, runs: map[string]int{}, run: fmt.Sprintf("%s.%d", id, targetCount.Add(1))}
 	t.srv = &http.Server{Handler: t}
 	go t.srv.Serve(listener)
 	return t, nil
@@ -127,13 +135,15 @@
 	}
 	t.mu.Lock()
 	t.runs[id]++
+	t.arrivals = append(t.arrivals, arrival{id: id, at: time.Now()})
 	t.mu.Unlock()
 	time.Sleep(serviceTime)
+	t.writeStatements(w.Header())
 	if string(body) == poisonBody {
 		t.handlePoison()
 		return
 	}
-	w.Header().Set(t.headers.Signature, t.id)
+	w.Header().Set(t.headers.Signature, t.run)
 	io.WriteString(w, responseBody(id, string(body)))
 }
 
