--- a/balance/rate_limit_test.go
+++ b/balance/rate_limit_test.go
@@ -167,7 +167,7 @@
 // Guards against requests that are refused, or wait, at instances with rate
 // limits while other instances of the service have room, at any number of nodes.
 func TestRequestsAvoidRateLimitsWhileOthersHaveRoom(t *testing.T) {
-	for _, senders := range []int{1, 16, 200} {
+	for _, senders := range []int{1, 16, 200, 1100} {
 		synctest.Test(t, func(t *testing.T) {
 			Convey(fmt.Sprintf("%d nodes, half of the instances limited", senders), t, func() {
 				f := newRateLimitedFleet(senders, 6)
@@ -199,7 +199,7 @@
 	for _, c := range []struct {
 		senders int
 		limit   float64
-	}{{1, 20}, {16, 20}, {200, 20}, {16, 2}, {200, 0.5}} {
+	}{{1, 20}, {16, 20}, {200, 20}, {16, 2}, {200, 0.5}, {1100, 5}} {
 		synctest.Test(t, func(t *testing.T) {
 			Convey(fmt.Sprintf("%d nodes, %v requests a second at each of four instances", c.senders, c.limit), t, func() {
 				f := newRateLimitedFleet(c.senders, 4)
