Refuse nothing at the entry because of targets' rate limits

Cause: the threshold that a target's node tells entry nodes was worked out at a rate limit from the requests that wait for it, in the slot time that the limit leaves for each. At 0.5 a second one request in line is two seconds of work for all slots, so the threshold fell to the lowest, the entry nodes refused nearly all reads, and no request reached the target whose answer would have shown the end. When a limit begins, the demand counted for the slots is discarded, so that it does not refuse anything that others have room for either.

Weighed: thresholds at higher limits only, which would save tries of refused requests and calls refused midway there. Not kept, as they would need a bound between the two that nothing measures.

--- a/admit/meter.go
+++ b/admit/meter.go
@@ -60,6 +60,15 @@
 	m.mu.Unlock()
 }
 
+// Reset discards all demand and admits everything again.
+func (m *DemandMeter) Reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.demand[:])
+	clear(m.meanDemand[:])
+	m.queued, m.threshold, m.raiseStep = 0, MaxLevel, 1
+}
+
 // RecordArrival records the arrival of a request at a level, the slot time
 // it is expected to take, and the slot time of the work already queued.
 func (m *DemandMeter) RecordArrival(l call.Level, work, queued time.Duration) {
--- a/sidecar/rate_limit_test.go
+++ b/sidecar/rate_limit_test.go
@@ -162,3 +162,23 @@
 		So(targets[0].arrivedSince(drainBound), ShouldEqual, 0)
 	})
 }
+
+// Guards against a service that goes on refusing requests after the rate limits
+// of its instances have ended.
+func TestServiceRecoversAfterRateLimitsEnd(t *testing.T) {
+	m := newMesh(t, "versand", "versand", "archiv", "archiv")
+	Convey("All requests are served again within three seconds", t, func() {
+		targets := limitTargets(m.vms[2:], 5*time.Millisecond)
+		for _, l := range targets {
+			l.setLimit("0.5")
+		}
+		limited := m.load("/read/x", 4, 10*time.Millisecond, 4*time.Second)
+		So(limited[http.StatusServiceUnavailable], ShouldBeGreaterThan, 0)
+		for _, l := range targets {
+			l.setLimit("")
+		}
+		m.load("/read/x", 4, 10*time.Millisecond, 3*time.Second)
+		codes := m.load("/read/x", 4, 10*time.Millisecond, time.Second)
+		So(codes, ShouldResemble, map[int]int{http.StatusOK: codes[http.StatusOK]})
+	})
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -136,19 +136,17 @@
 	return a
 }
 
-// recordArrival records the demand of a request for the local target. Where the
-// target's rate limit is what bounds it, only requests that no other instance
-// takes count: the limit of one instance is no reason to refuse requests that
-// others have room for.
+// recordArrival records the demand of a request for the local target. While the
+// target's rate limit is what bounds it, entry nodes are not told to refuse any:
+// a request goes to another instance or waits here by rank, whereas a threshold
+// derived from the few requests that a low limit admits would refuse too much,
+// and too long after the limit has ended.
 func (n *Node) recordArrival(r call.Request) {
-	work := n.targetTimes.Mean(r.Operation, initialTargetTime)
-	if slotTime, bound := n.gate.RateBound(); bound {
-		if !r.AwaitRate {
-			return
-		}
-		work = slotTime
+	if n.gate.RateBound() {
+		n.meter.Reset()
+		return
 	}
-	n.meter.RecordArrival(r.HTTP.Level, work, n.gate.QueuedWork())
+	n.meter.RecordArrival(r.HTTP.Level, n.targetTimes.Mean(r.Operation, initialTargetTime), n.gate.QueuedWork())
 }
 
 // notAdmitted returns the answer to a request that the gate of the local target
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -254,27 +254,18 @@
 	return g.rate.wait(time.Now(), g.queue.Len()+1)
 }
 
-// RateBound reports whether the rate limit admits less than the slots do, and
-// returns the slot time that each request then takes of the target's capacity.
-func (g *Gate) RateBound() (slotTime time.Duration, bound bool) {
+// RateBound reports whether the rate limit admits less than the slots do.
+func (g *Gate) RateBound() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	slotTime = g.slotTime()
-	return slotTime, slotTime > g.meanServiceTime
+	return g.rate.concurrency(g.meanServiceTime) < g.limit
 }
 
 // QueuedWork returns the slot time expected for the queued requests.
 func (g *Gate) QueuedWork() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return time.Duration(g.queue.Len()) * g.slotTime()
-}
-
-// slotTime returns the slot time that one request takes of the target's
-// capacity: its service time, or all slots for the time in which the rate limit
-// admits one request if that is longer.
-func (g *Gate) slotTime() time.Duration {
-	return max(g.meanServiceTime, time.Duration(g.limit)*g.rate.interval())
+	return time.Duration(g.queue.Len()) * g.meanServiceTime
 }
 
 // admitWaiting admits queued requests while there are free slots and the rate
--- a/slots/rate_test.go
+++ b/slots/rate_test.go
@@ -93,21 +93,17 @@
 // Guards against a limit far below the number of slots that still counts all of
 // them as capacity.
 func TestRateLimitReducesCapacity(t *testing.T) {
-	Convey("Concurrency and slot time follow from the limit and the service time", t, func() {
+	Convey("The capacity follows from the limit and the service time", t, func() {
 		g := NewGate(100, DefaultQueueOrder())
-		_, bound := g.RateBound()
-		So(bound, ShouldBeFalse)
+		So(g.RateBound(), ShouldBeFalse)
 		g.SetRate(100) // 5 in progress at 50 ms each
 		So(g.Load().Limit, ShouldEqual, 5)
-		slotTime, bound := g.RateBound()
-		So(bound, ShouldBeTrue)
-		So(slotTime, ShouldEqual, time.Second)
+		So(g.RateBound(), ShouldBeTrue)
 		g.SetRate(0.25)
 		So(g.Load().Limit, ShouldEqual, 1)
 		g.SetRate(1e300)
 		So(g.Load().Limit, ShouldEqual, 100)
-		_, bound = g.RateBound()
-		So(bound, ShouldBeFalse)
+		So(g.RateBound(), ShouldBeFalse)
 	})
 }
 
