Try instances again whose last answer reported a queue at their rate limit

An instance could stay without requests after its rate limit had ended, while others of its service had more to do. Cause: at a limit the node beside it reports as capacity what the limit can keep busy, often one request, so that a queue of three is three times its capacity; a node that got this with its last answer from there sent nothing more, and no answer could tell it of the end. What such a node reported falls to zero within two seconds now, the time after which a refusal because of the limit is forgotten too. A wait for the limit no longer counts as slowness of the instance either.

TestQueueAtRateLimitIsForgotten failed and passes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -298,7 +298,7 @@
 // cost returns the cost of choosing an instance, mainly its utilization;
 // lower is better.
 func (b *Balancer) cost(in *directory.Instance, s *instanceState, now time.Time) float64 {
-	c := s.utilization(in)
+	c := s.utilization(in, now)
 	if now.Before(in.ColdUntil) {
 		c *= coldFactor
 	}
@@ -313,15 +313,28 @@
 
 // utilization returns the number of requests at or queued for an instance as
 // a fraction of its slots.
-func (s *instanceState) utilization(in *directory.Instance) float64 {
+func (s *instanceState) utilization(in *directory.Instance, now time.Time) float64 {
 	limit := s.load.Limit
 	if limit == 0 {
 		limit = max(in.Slots, 1)
 	}
-	n := max(s.load.InFlight+s.load.Queued+s.outstanding-s.outstandingAtLoad, s.outstanding)
+	n := max(s.reportedRequests(now)+s.outstanding-s.outstandingAtLoad, s.outstanding)
 	return float64(n) / float64(limit)
 }
 
+// reportedRequests returns the number of requests that the instance's node last
+// reported. At a rate limit it falls to zero within maxRateBackoff: the capacity
+// is so small that a queue once reported would keep all requests away, and with
+// them the answer that shows the end of the limit.
+func (s *instanceState) reportedRequests(now time.Time) int {
+	n := s.load.InFlight + s.load.Queued
+	if s.stated.RateLimit == 0 {
+		return n
+	}
+	left := 1 - float64(now.Sub(s.reportedAt))/float64(maxRateBackoff)
+	return int(float64(n) * max(left, 0))
+}
+
 // failureRate returns the higher of the failure rates observed by this node
 // and reported by the instance's node. The former includes lost responses;
 // the latter covers the requests of all callers and so shows a failing
--- a/balance/rate_limit_test.go
+++ b/balance/rate_limit_test.go
@@ -241,3 +241,30 @@
 		})
 	})
 }
+
+// Guards against an instance that is never tried again because its last answer
+// reported a queue at its rate limit.
+func TestQueueAtRateLimitIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("After two seconds the instance is tried before a busy one", t, func() {
+			b := New(Config{DC: "nord", Weights: DefaultWeights()})
+			limited, busy := directory.Instance{ID: "limited", DC: "nord", Slots: 20}, directory.Instance{ID: "busy", DC: "nord", Slots: 20}
+			report := func(in directory.Instance, o Outcome) {
+				_, ok := b.Pick(PickRequest{Instances: []directory.Instance{in}})
+				So(ok, ShouldBeTrue)
+				b.Done(in.Incarnation(), o)
+			}
+			report(limited, Outcome{Load: &call.Load{InFlight: 1, Queued: 3, Limit: 1}, State: call.InstanceState{RateLimit: 0.3}})
+			pick := func() string {
+				report(busy, Outcome{Load: &call.Load{InFlight: 10, Limit: 20}})
+				c, ok := b.Pick(PickRequest{Instances: []directory.Instance{limited, busy}})
+				So(ok, ShouldBeTrue)
+				b.Done(c.Incarnation(), Outcome{})
+				return string(c.ID)
+			}
+			So(pick(), ShouldEqual, "busy")
+			time.Sleep(maxRateBackoff)
+			So(pick(), ShouldEqual, "limited")
+		})
+	})
+}
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -69,7 +69,7 @@
 		}
 		return
 	}
-	if sel.explore && b.failureRate(s) < maxExploreFailureRate && s.utilization(in) < maxExploreUtilization {
+	if sel.explore && b.failureRate(s) < maxExploreFailureRate && s.utilization(in, sel.now) < maxExploreUtilization {
 		cost = rand.Float64() - exploreDiscount
 	}
 	if sel.best == nil || cost < sel.bestCost {
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -131,7 +131,7 @@
 		att.reached++
 		att.mayHaveRun = true
 		o.Failed = a.Status == call.Unknown || (a.HTTP != nil && a.HTTP.Code >= 500)
-		if a.Status == call.OK {
+		if a.Status == call.OK && !q.AwaitRate { // a wait for the rate limit says nothing of the instance's speed
 			o.Latency = time.Since(sent)
 		}
 	}
