Extend the wait in a queue only for a rate limit that is in force

A request that is sent to an instance as the last resort, because all are avoided for whatever reason, could wait in a queue for slots for half of its time, beyond what its aim allows, and be refused late. The wait is extended only where a rate limit is in force (TestPatienceIsExtendedForRateLimitOnly, failed before).

--- a/call/http.go
+++ b/call/http.go
@@ -20,8 +20,8 @@
 		AuthScheme       string // authentication scheme that precedes the API key
 		Account          string // name of the client account, sent to the target instead of APIKey
 		RateLimit        string // requests per second that the target takes from all callers together, on its answers while it limits them
-		Leaving          string // LeavingValue on all answers of a target that takes no more new requests
-		LeavingValue     string
+		Leaving          string // on all answers of a target that takes no more new requests, with the value LeavingValue
+		LeavingValue     string // any other value means nothing
 	}
 
 	// Field is a header field.
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -313,7 +313,7 @@
 	switch {
 	case t.MaxQueueWait <= 0:
 		return left
-	case t.AwaitRate && g.queue.Ahead(g.order.queueLevel(t)) == 0:
+	case g.rate != nil && t.AwaitRate && g.queue.Ahead(g.order.queueLevel(t)) == 0:
 		return max(min(left, t.MaxQueueWait), left/rateWaitDivisor)
 	}
 	return min(left, t.MaxQueueWait)
--- a/slots/rate_test.go
+++ b/slots/rate_test.go
@@ -90,6 +90,24 @@
 	})
 }
 
+// Guards against requests that wait longer than they may for a slot because they
+// would also wait for a rate limit that there is not.
+func TestPatienceIsExtendedForRateLimitOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Without a limit MaxQueueWait holds", t, func() {
+			g := NewGate(1, DefaultQueueOrder())
+			ctx := context.Background()
+			So(<-acquireAsync(ctx, g, ticket(0, time.Minute)), ShouldBeNil)
+			tk := awaitingTicket(0, time.Minute)
+			tk.MaxQueueWait = time.Second
+			waiting := acquireAsync(ctx, g, tk)
+			time.Sleep(2 * time.Second)
+			So(len(waiting), ShouldEqual, 1)
+			So(<-waiting, ShouldEqual, ErrTooLate)
+		})
+	})
+}
+
 // Guards against a limit far below the number of slots that still counts all of
 // them as capacity.
 func TestRateLimitReducesCapacity(t *testing.T) {
