Keep avoiding instances that refuse requests in line for their rate limits

A refusal of a request that waited for a limit ended the time for which its node avoids the instance, so the next request was sent there in vain. And what was last reported from a limited instance was forgotten at once where it was one request, by rounding down.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -139,6 +140,7 @@
 		Latency     time.Duration      // time from sending to the response; 0 to leave the latency unchanged
 		Failed      bool               // the request ran and failed, or no response was received
 		Refused     bool               // the instance itself refused to run the request
+		NotRun      bool               // the request was not run, for whatever reason
 		Unreachable bool               // the instance's node could not be reached
 		Leaving     bool               // the instance or its node accepts no new requests
 		Load        *call.Load         // reported with the response; may be nil
@@ -224,6 +226,8 @@
 		s.rateRefusals++
 		s.avoidUntil = now.Add(rateBackoff(o.RateWait, s.rateRefusals))
 		s.rateFreeAt = now.Add(o.RateWait)
+	case o.NotRun && o.State.RateLimit > 0:
+		// Refused in the queue at the rate limit, which has not ended.
 	case !o.Failed && !o.Refused:
 		s.avoidUntil, s.rateRefusals = time.Time{}, 0
 	}
@@ -332,7 +336,7 @@
 		return n
 	}
 	left := 1 - float64(now.Sub(s.reportedAt))/float64(maxRateBackoff)
-	return int(float64(n) * max(left, 0))
+	return int(math.Ceil(float64(n) * max(left, 0)))
 }
 
 // failureRate returns the higher of the failure rates observed by this node
--- a/balance/rate_limit_test.go
+++ b/balance/rate_limit_test.go
@@ -120,7 +120,7 @@
 	gate := f.gates[to.ID]
 	time.Sleep(simulatedHop)
 	_, err := gate.Acquire(context.Background(), t)
-	o := Outcome{Route: "r"}
+	o := Outcome{Route: "r", NotRun: err != nil}
 	switch {
 	case err == nil:
 		f.admitted[to.ID] = append(f.admitted[to.ID], time.Now())
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -123,7 +123,7 @@
 	case !reachable:
 		att.unreachable++
 	case a.Status == call.NotRun:
-		o.Refused = a.ReachedTarget
+		o.NotRun, o.Refused = true, a.ReachedTarget
 		if a.ReachedTarget {
 			att.reached++
 		}
