Take only an instance's own answer as its word that it leaves

An instance that restarted under its ID after it had stated that it leaves could stay without requests for good, while every node listed it as in service. Cause: the node beside it told what it last knew with each answer and refusal, without saying of which run, and while its directory did not list the instance it could not tell the runs apart. Nodes whose directory had the new run already took it as leaving, and that is not taken back.

A node now marks a run as leaving only where an answer of the instance itself says so, as the run that it sent the request to. The node beside marks the run that it knew when it sent the request, and holds nothing else; refusals of a node whose instance leaves are avoided for two seconds as before. A rate limit of an earlier run is not applied to a later one by an answer that comes late.

--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -22,7 +22,7 @@
 	if !in.Unlisted {
 		n.vouchChecker.Observe(in)
 	}
-	n.statements.begin(in.Incarnation())
+	n.targetRate.begin(in.Incarnation())
 	old := n.self.Swap(&in)
 	if old != nil && old.Incarnation() != in.Incarnation() {
 		// Failure statistics and connections belong to the previous process.
@@ -35,7 +35,7 @@
 		n.gate.SetLimit(usable)
 		n.meter.SetSlots(usable)
 	}
-	if in.Leaving || n.statements.get().Leaving {
+	if in.Leaving {
 		// Queued requests have not been executed and can go to other
 		// instances.
 		n.gate.Close()
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -100,7 +100,7 @@
 		vouchChecker *vouch.Checker // decides whether to vouch for the local instance
 		vouchQueries pendingQueries // to the nodes of unlisted instances
 		exits        exitDetector   // of the local target
-		statements   statements     // of the local target about itself
+		targetRate   targetRate     // rate limit that the local target states
 		quarantine   *quarantine.Tracker
 		isolation    *quarantine.IsolationLock // restricts concurrency at the local target
 		reports      reportQueue               // outgoing quarantine reports
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.statements.gate = n.gate
+	n.targetRate.gate = n.gate
 	n.untilDrain, n.startDrain = context.WithCancel(context.Background())
 	n.syncer = replication.New(n.syncerConfig(self))
 	n.limiter = account.NewLimiter()
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -201,7 +201,7 @@
 	if local := n.meter.Threshold(); local < l.Threshold {
 		l.Threshold, l.Bottleneck = local, n.cfg.Service
 	}
-	a.Load, a.State = &l, n.statements.get()
+	a.Load, a.State.RateLimit = &l, n.targetRate.get()
 	return a
 }
 
@@ -219,7 +219,7 @@
 	h.Set(headers.Deadline, strconv.FormatInt(remaining, 10))
 	h.Set(headers.ExpectedInstance, r.To)
 	h.Set(headers.CallerService, r.HTTP.Caller)
-	began := time.Now()
+	began, run := time.Now(), n.incarnationOf(r.To)
 	n.stats.countSent()
 	resp, err := n.target.Do(ctx, &targetconn.Request{ID: r.ID, Method: r.HTTP.Method, Host: r.HTTP.Host, URI: r.HTTP.URI, Header: h, Body: r.Body})
 	switch {
@@ -233,7 +233,7 @@
 	}
 	a := n.classifyAnswer(r, resp)
 	if a.Status != call.Unknown && !a.Leaving {
-		n.recordStatement(r, resp.Header, began)
+		a.State.Leaving = n.recordStatement(r, run, resp.Header, began).leaving
 	}
 	return a
 }
--- a/sidecar/statement.go
+++ b/sidecar/statement.go
@@ -32,15 +32,15 @@
 		leaving   bool
 	}
 
-	// statements holds what the local target states about itself and applies
-	// its rate limit. Safe for concurrent use.
-	statements struct {
+	// targetRate holds the rate limit that the local target states, and applies
+	// it. Safe for concurrent use.
+	targetRate struct {
 		gate *slots.Gate // of the local target
 
 		mu        sync.Mutex
 		of        directory.Incarnation
-		answered  bool // the target has stated a valid limit, or none, since the node's start
-		state     call.InstanceState
+		answered  bool      // the target has stated a valid limit, or none, since the node's start
+		limit     float64   // requests per second; 0 for none
 		limitedAt time.Time // when the last answer with a rate limit arrived
 	}
 )
@@ -63,82 +63,93 @@
 }
 
 // record applies a statement of a run of the target in an answer to a request
-// sent at a given time, and returns the state before and after.
+// sent at a given time, and returns the limit before and after.
 //
 // Answers on different connections arrive in any order, so the end of a rate
 // limit is taken only from an answer to a request that was sent after the limit
 // was last stated. An invalid limit leaves the one in force as it is.
-func (s *statements) record(of directory.Incarnation, st statement, sent time.Time) (before, after call.InstanceState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.beginLocked(of)
-	before = s.state
-	s.answered = s.answered || !st.invalid
-	s.state.Leaving = s.state.Leaving || st.leaving
+func (t *targetRate) record(of directory.Incarnation, st statement, sent time.Time) (before, after float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before = t.limit
+	if !t.accept(of) {
+		return before, before
+	}
+	t.answered = t.answered || !st.invalid
 	switch {
 	case st.rateLimit > 0:
-		s.state.RateLimit, s.limitedAt = st.rateLimit, time.Now()
+		t.limit, t.limitedAt = st.rateLimit, time.Now()
 	case st.invalid:
-		s.limitedAt = time.Now()
-	case sent.After(s.limitedAt):
-		s.state.RateLimit = 0
+		t.limitedAt = time.Now()
+	case sent.After(t.limitedAt):
+		t.limit = 0
 	}
-	s.apply(before)
-	return before, s.state
+	t.apply(before)
+	return before, t.limit
 }
 
-// adopt applies the rate limit that another node knows of the target from before
-// this node started, the lowest of several, until the target answers here. It
-// returns the state before and after.
-func (s *statements) adopt(of directory.Incarnation, known call.InstanceState) (before, after call.InstanceState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.beginLocked(of)
-	before = s.state
-	if !s.answered && (before.RateLimit == 0 || known.RateLimit < before.RateLimit) {
-		s.state.RateLimit = known.RateLimit
+// adopt applies the rate limit that another node knows of a run of the target
+// from before this node started, the lowest of several, until the target answers
+// here. It returns the limit before and after.
+func (t *targetRate) adopt(of directory.Incarnation, known float64) (before, after float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before = t.limit
+	if t.accept(of) && !t.answered && (before == 0 || known < before) {
+		t.limit = known
 	}
-	s.apply(before)
-	return before, s.state
+	t.apply(before)
+	return before, t.limit
 }
 
-// begin discards what an earlier run of the target stated.
-func (s *statements) begin(of directory.Incarnation) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.beginLocked(of)
+// begin makes a run of the target the present one.
+func (t *targetRate) begin(of directory.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.beginLocked(of)
 }
 
-func (s *statements) beginLocked(of directory.Incarnation) {
-	if s.of == of {
-		return
+// beginLocked discards what another run stated. While the directory does not
+// list the target only its ID is known, with a start of 0; what was stated then
+// is kept, since the target's next answer corrects it.
+func (t *targetRate) beginLocked(of directory.Incarnation) {
+	if t.of.ID != of.ID || (t.of.At != 0 && t.of != of) {
+		before := t.limit
+		t.answered, t.limit, t.limitedAt = false, 0, time.Time{}
+		t.apply(before)
 	}
-	// A node whose directory does not list its target yet knows only its ID.
-	if s.of.ID != of.ID || (s.of.At != 0 && of.At != 0) {
-		before := s.state
-		s.answered, s.state, s.limitedAt = false, call.InstanceState{}, time.Time{}
-		s.apply(before)
+	t.of = of
+}
+
+// accept reports whether a statement of a run concerns the present one. A later
+// run becomes the present one.
+func (t *targetRate) accept(of directory.Incarnation) bool {
+	switch {
+	case t.of.ID != of.ID, t.of.At < of.At:
+		t.beginLocked(of)
+	case of.At != 0 && of.At < t.of.At:
+		return false
 	}
-	s.of = of
+	return true
 }
 
-// apply passes a changed rate limit to the gate.
-func (s *statements) apply(before call.InstanceState) {
-	if s.state.RateLimit != before.RateLimit {
-		s.gate.SetRate(s.state.RateLimit)
+// apply passes a changed limit to the gate.
+func (t *targetRate) apply(before float64) {
+	if t.limit != before {
+		t.gate.SetRate(t.limit)
 	}
 }
 
-// get returns what the target states.
-func (s *statements) get() call.InstanceState {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state
+// get returns the limit in force, 0 for none.
+func (t *targetRate) get() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limit
 }
 
-// recordStatement records what an answer of the local target to a request sent
-// at a given time states about the target.
-func (n *Node) recordStatement(r call.Request, h http.Header, sent time.Time) {
+// recordStatement records what an answer of a run of the local target to a
+// request sent at a given time states about the target, and returns it.
+func (n *Node) recordStatement(r call.Request, of directory.Incarnation, h http.Header, sent time.Time) statement {
 	st, err := parseStatement(h, n.cfg.Headers)
 	if err != nil {
 		n.stats.countInvalidStatement()
@@ -146,12 +157,12 @@
 			return log.Fields{"id": r.ID, "instance": r.To, "error": err.Error()}
 		})
 	}
-	of := n.incarnationOf(r.To)
-	before, after := n.statements.record(of, st, sent)
+	before, after := n.targetRate.record(of, st, sent)
 	n.logRateLimit(r, before, after)
-	if before.Leaving != after.Leaving {
+	if st.leaving {
 		n.dir.MarkLeaving(of)
 	}
+	return st
 }
 
 // adoptKnown applies what the sender of a request knows of the local target, in
@@ -160,24 +171,30 @@
 	if r.Known.RateLimit == 0 {
 		return
 	}
-	before, after := n.statements.adopt(n.incarnationOf(r.To), r.Known)
+	before, after := n.targetRate.adopt(n.incarnationOf(r.To), r.Known.RateLimit)
 	n.logRateLimit(r, before, after)
 }
 
-func (n *Node) logRateLimit(r call.Request, before, after call.InstanceState) {
-	if before.RateLimit == after.RateLimit {
+func (n *Node) logRateLimit(r call.Request, before, after float64) {
+	if before == after {
 		return
 	}
 	n.decisions.Log("rate_limit_changed", func() log.Fields {
-		return log.Fields{"id": r.ID, "instance": r.To, "from_per_s": before.RateLimit, "to_per_s": after.RateLimit}
+		return log.Fields{"id": r.ID, "instance": r.To, "from_per_s": before, "to_per_s": after}
 	})
 }
 
 // incarnationOf returns the run of the local target that a request sent to an
-// instance reached.
+// instance now reaches. Its start is 0 if the directory does not list it.
 func (n *Node) incarnationOf(id string) directory.Incarnation {
 	if self := n.self.Load(); self != nil && string(self.ID) == id {
 		return self.Incarnation()
 	}
 	return directory.Incarnation{ID: directory.InstanceID(id)}
 }
+
+// targetLeaving reports whether the local target has stated that it leaves.
+func (n *Node) targetLeaving() bool {
+	self := n.self.Load()
+	return self != nil && n.dir.HasStatedLeaving(self.Incarnation())
+}
