--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,8 +16,9 @@
 
 	// regressionSeeds are seeds that failed before, each with the cause.
 	regressionSeeds = []uint64{
-		1,  // a stopping node accepted reads after its last response
-		13, // a restarted node took a malformed rate limit for none
+		1,   // a stopping node accepted reads after its last response
+		13,  // a restarted node took a malformed rate limit for none
+		409, // an instance restarted under its ID was taken for the run that left
 	}
 )
 
