Ask for the source's last failure without the vouch checker's lock

Callers of one node got no answer to any request any more, while the node went on serving those of other nodes: their connections stood until they gave up.

Cause: a check whether to vouch for the local instance asked the directory for the source's last failure with its own lock held, and a change of the directory told the checker of the instance with the directory locked. Where an entry had lapsed while the source answered again, both could wait for each other for good.

TestCheckDoesNotBlockObserve failed (no verdict after 10 s) and passes.

Ruled out: a process that ended (its log goes on), and the locks of the rate limit, which never call into the directory. Of the other calls that a change of the directory makes, none takes a lock that is held where the directory is asked.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,8 +57,8 @@
 	}
 }
 
-// Guards against a node that gives no response to a request on a route that was
-// added after a restore of the store.
+// Guards against a node that gives no response to any request because a check of
+// its instance and a change of its directory wait for each other.
 func TestSeedWithUnansweredRequest(t *testing.T) {
 	checkInvariants(t, buildBinary(t), 347, 10*time.Second)
 }
--- a/vouch/checker.go
+++ b/vouch/checker.go
@@ -53,7 +53,8 @@
 		// healthy.
 		Probe func(ctx context.Context, in directory.Instance) ServingStatus
 		// LastSourceFailure returns when other requests of this node to the
-		// source last failed, or zero for never.
+		// source last failed, or zero for never. It may lock what Observe is
+		// called under.
 		LastSourceFailure func() time.Time
 	}
 
@@ -139,6 +140,9 @@
 	go func() { probed <- c.cfg.Probe(ctx, in) }()
 	listed, err := c.cfg.Listed(ctx, in.ID)
 	status := <-probed
+	// Observe is called with the directory locked, so a call into the directory
+	// with c.mu held would be a deadlock, in which the node answers nothing.
+	sourceFailedAt := c.cfg.LastSourceFailure()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	close(c.inProgress)
@@ -151,7 +155,7 @@
 	if err != nil {
 		c.sourceLostAt = now
 	}
-	c.verdict = c.decide(now, listed, err == nil, status)
+	c.verdict = c.decide(now, listed, err == nil, status, sourceFailedAt)
 }
 
 // decide returns the verdict of a check. The source takes precedence if it
@@ -159,7 +163,7 @@
 // missing one has left unless the source was unreachable until recently.
 // Otherwise the instance must be serving, as it may also leave while it is cut
 // off.
-func (c *Checker) decide(now time.Time, listed, answered bool, status ServingStatus) bool {
+func (c *Checker) decide(now time.Time, listed, answered bool, status ServingStatus, sourceFailedAt time.Time) bool {
 	if status == Serving {
 		c.lastServing = now
 	}
@@ -171,8 +175,8 @@
 		return status != NotServing
 	}
 	lost := c.sourceLostAt
-	if at := c.cfg.LastSourceFailure(); at.After(lost) {
-		lost = at
+	if sourceFailedAt.After(lost) {
+		lost = sourceFailedAt
 	}
 	return serving && !lost.IsZero() && now.Sub(lost) < relistGrace
 }
--- a/vouch/checker_test.go
+++ b/vouch/checker_test.go
@@ -116,3 +116,29 @@
 		})
 	})
 }
+
+// Guards against a node that answers nothing any more because a check and a
+// change of the directory wait for each other's lock.
+func TestCheckDoesNotBlockObserve(t *testing.T) {
+	Convey("The last failure of the source is asked for without the Checker's lock", t, func() {
+		in := directory.Instance{ID: "i"}
+		var c *Checker
+		c = NewChecker(Config{
+			Listed: func(context.Context, directory.InstanceID) (bool, error) { return false, nil },
+			Probe:  func(context.Context, directory.Instance) ServingStatus { return Serving },
+			LastSourceFailure: func() time.Time {
+				c.Observe(in) // as a change of the directory does, with the directory locked
+				return time.Now()
+			},
+		})
+		c.Observe(in)
+		vouched := make(chan bool, 1)
+		go func() { vouched <- c.Vouch(context.Background(), in.Incarnation()) }()
+		select {
+		case v := <-vouched:
+			So(v, ShouldBeTrue)
+		case <-time.After(10 * time.Second):
+			So("no verdict after 10 s", ShouldBeEmpty)
+		}
+	})
+}
