--- a/sidecar/rate_limit_restart_test.go
+++ b/sidecar/rate_limit_restart_test.go
@@ -104,7 +104,7 @@
 }
 
 // setStart sets when v's instance started, at the given nodes only.
-func (m *mesh) setStart(v *vm, started directory.UnixMilli, revision directory.Revision, at ...*vm) {
+func (v *vm) setStart(started directory.UnixMilli, revision directory.Revision, at ...*vm) {
 	v.self.Started, v.self.Revision = started, revision
 	for _, other := range at {
 		other.dir.Apply([]directory.Change{{Instance: &v.self}}, revision)
@@ -122,9 +122,9 @@
 			m := newMesh(t, "versand", "archiv")
 			sender, v := m.vms[0], m.vms[1]
 			target := limitTargets(m.vms[1:], time.Millisecond)[0]
-			m.setStart(v, 1, 2, sender)
+			v.setStart(1, 2, sender)
 			if c.listed {
-				m.setStart(v, 1, 3, v)
+				v.setStart(1, 3, v)
 			} else {
 				v.dir.Apply([]directory.Change{{Removed: v.self.ID, RemovedAt: 3}}, 3)
 				v.dir.DropUnlisted(v.self.Incarnation())
@@ -137,9 +137,9 @@
 			So(got.code, ShouldEqual, http.StatusServiceUnavailable)
 
 			target.leaving = false
-			m.setStart(v, 4, 4, sender)
+			v.setStart(4, 4, sender)
 			m.get(sender, "/read/x")
-			m.setStart(v, 4, 5, v)
+			v.setStart(4, 5, v)
 			time.Sleep(100 * time.Millisecond)
 			So(v.node.self.Load().Started, ShouldEqual, 4)
 			for range 5 {
