Apply a rate limit that the next run of a target states unchanged

A target that replaced a limited one at its address, before the node's directory listed it, and stated the same rate limit got requests without bound, while the metric showed the limit. Cause: a later run resets the limit and lifts it at the gate, but the change was then judged against the limit before the reset, so an equal one was not set again; a peer's word on the new run was ignored if it was higher than the old limit. Both are judged after the reset now.

Ruled out as harmless: a run that the directory announces first, where the reset comes before any answer. TestSameRateLimitOfNextRunIsApplied failed (the gate not limited) and passes.

--- a/sidecar/statement.go
+++ b/sidecar/statement.go
@@ -71,8 +71,9 @@
 func (t *targetRate) record(of directory.Incarnation, st statement, sent time.Time) (before, after float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	accepted := t.accept(of)
 	before = t.limit
-	if !t.accept(of) {
+	if !accepted {
 		return before, before
 	}
 	t.answered = t.answered || !st.invalid
@@ -94,8 +95,9 @@
 func (t *targetRate) adopt(of directory.Incarnation, known float64) (before, after float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	accepted := t.accept(of)
 	before = t.limit
-	if t.accept(of) && !t.answered && (before == 0 || known < before) {
+	if accepted && !t.answered && (before == 0 || known < before) {
 		t.limit = known
 	}
 	t.apply(before)
--- a/sidecar/statement_test.go
+++ b/sidecar/statement_test.go
@@ -87,6 +87,23 @@
 	})
 }
 
+// Guards against a target that gets requests without bound because it states the
+// same rate limit as the one that it replaces.
+func TestSameRateLimitOfNextRunIsApplied(t *testing.T) {
+	Convey("The gate is limited, whether the target or a peer says so", t, func() {
+		gate := slots.NewGate(10, slots.DefaultQueueOrder())
+		s := targetRate{gate: gate}
+		s.record(directory.Incarnation{ID: "a"}, statement{rateLimit: 3}, time.Now())
+		So(gate.RateBound(), ShouldBeTrue)
+		_, got := s.record(directory.Incarnation{ID: "b"}, statement{rateLimit: 3}, time.Now())
+		So(got, ShouldEqual, 3)
+		So(gate.RateBound(), ShouldBeTrue)
+		_, got = s.adopt(directory.Incarnation{ID: "c"}, 5)
+		So(got, ShouldEqual, 5)
+		So(gate.RateBound(), ShouldBeTrue)
+	})
+}
+
 // Guards against a restarted node that takes a malformed rate limit of its target
 // for none, and no longer heeds what other nodes know.
 func TestMalformedRateLimitIsNoAnswerToWhatPeersKnow(t *testing.T) {
