Tell peers a known rate limit as a number, and drop what nothing uses

A sender tells the node of an instance only the rate limit that it knows, yet the request, the choice and the outcome carried the whole state, whose leaving a sender never tells: it sends nothing there. They hold a number now; frames are encoded as before. An unreachable branch of rateLimit.interval goes, the two copies of stopping a node in sidecar's tests are one, and pages name the type as it is called. No behaviour changes, and the tests keep their assertions.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -121,20 +121,20 @@
 		// LastResort is set if the instance is to be avoided, but no other one
 		// is left.
 		LastResort bool
-		State      call.InstanceState // what the instance is known to state
+		RateLimit  float64 // that the instance last stated, in requests per second; 0 for none
 	}
 
 	// Outcome is the result of one request to an instance.
 	Outcome struct {
 		Route       string
-		Latency     time.Duration      // time from sending to the response; 0 to leave the latency unchanged
-		Failed      bool               // the request ran and failed, or no response was received
-		Refused     bool               // the instance itself refused to run the request
-		NotRun      bool               // the request was not run, for whatever reason
-		Unreachable bool               // the instance's node could not be reached
-		Leaving     bool               // the instance or its node accepts no new requests
-		Load        *call.Load         // reported with the response; may be nil
-		State       call.InstanceState // stated by the instance; known if Load is set
+		Latency     time.Duration // time from sending to the response; 0 to leave the latency unchanged
+		Failed      bool          // the request ran and failed, or no response was received
+		Refused     bool          // the instance itself refused to run the request
+		NotRun      bool          // the request was not run, for whatever reason
+		Unreachable bool          // the instance's node could not be reached
+		Leaving     bool          // the instance or its node accepts no new requests
+		Load        *call.Load    // reported with the response; may be nil
+		RateLimit   float64       // stated by the instance, in requests per second; known if Load is set
 		// RateWait is set if the request was not run because of the instance's
 		// rate limit: the time until the next one is expected to be admitted.
 		RateWait time.Duration
@@ -151,7 +151,7 @@
 		reportedSlowdown    float64 // relative latency above normal reported by the instance's node
 		reportedAt          time.Time
 		avoidUntil          time.Time
-		stated              call.InstanceState
+		rateLimit           float64   // that the instance last stated; 0 for none
 		rateRefusals        int       // in a row, because of the rate limit
 		rateFreeAt          time.Time // when the rate limit was expected to admit the next request
 	}
@@ -185,7 +185,7 @@
 	}
 	s := b.state(best.Incarnation())
 	s.outstanding++
-	return Choice{Instance: *best, LastResort: sel.best == nil, State: s.stated}, true
+	return Choice{Instance: *best, LastResort: sel.best == nil, RateLimit: s.rateLimit}, true
 }
 
 // deadlineRisk returns the additional cost of an instance for a
@@ -216,13 +216,13 @@
 		s.rateRefusals++
 		s.avoidUntil = now.Add(rateBackoff(o.RateWait, s.rateRefusals))
 		s.rateFreeAt = now.Add(o.RateWait)
-	case o.NotRun && o.State.RateLimit > 0:
+	case o.NotRun && o.RateLimit > 0:
 		// Refused in the queue at the rate limit, which has not ended.
 	case !o.Failed && !o.Refused:
 		s.avoidUntil, s.rateRefusals = time.Time{}, 0
 	}
 	if o.Load != nil {
-		s.stated = o.State
+		s.rateLimit = o.RateLimit
 		s.load, s.outstandingAtLoad = *o.Load, s.outstanding
 		s.reportedFailureRate, s.reportedSlowdown, s.reportedAt = o.Load.FailureRate, o.Load.Slowdown-1, now
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -285,17 +285,17 @@
 		Convey("The limit is known for a minute, unless the instance ends it", t, func() {
 			b := New(Config{DC: "nord", Weights: DefaultWeights()})
 			instances := []directory.Instance{{ID: "i", DC: "nord", Slots: 60}}
-			done := func(o Outcome) call.InstanceState {
+			done := func(o Outcome) float64 {
 				to, ok := b.Pick(PickRequest{Instances: instances})
 				So(ok, ShouldBeTrue)
 				b.Done(to.Incarnation(), o)
-				return to.State
+				return to.RateLimit
 			}
-			done(Outcome{Load: loadOf(1), State: call.InstanceState{RateLimit: 3}})
+			done(Outcome{Load: loadOf(1), RateLimit: 3})
 			b.Prune(&directory.View{})
-			So(done(Outcome{Unreachable: true}).RateLimit, ShouldEqual, 3)
-			So(done(Outcome{Load: loadOf(1)}).RateLimit, ShouldEqual, 3)
-			So(done(Outcome{Load: loadOf(1), State: call.InstanceState{RateLimit: 3}}).RateLimit, ShouldEqual, 0)
+			So(done(Outcome{Unreachable: true}), ShouldEqual, 3)
+			So(done(Outcome{Load: loadOf(1)}), ShouldEqual, 3)
+			So(done(Outcome{Load: loadOf(1), RateLimit: 3}), ShouldEqual, 0)
 			time.Sleep(rateLimitMemory + time.Second)
 			b.Prune(&directory.View{})
 			So(b.HasState(directory.Incarnation{ID: "i"}), ShouldBeFalse)
--- a/balance/rate_limit.go
+++ b/balance/rate_limit.go
@@ -29,7 +29,7 @@
 
 // isRateLimited reports whether the instance recently stated a rate limit.
 func (s *instanceState) isRateLimited() bool {
-	return s.stated.RateLimit > 0 && time.Since(s.reportedAt) < rateLimitMemory
+	return s.rateLimit > 0 && time.Since(s.reportedAt) < rateLimitMemory
 }
 
 // reportedRequests returns the number of requests that the instance's node last
@@ -38,7 +38,7 @@
 // them the answer that shows the end of the limit.
 func (s *instanceState) reportedRequests(now time.Time) int {
 	n := s.load.InFlight + s.load.Queued
-	if s.stated.RateLimit == 0 {
+	if s.rateLimit == 0 {
 		return n
 	}
 	left := 1 - float64(now.Sub(s.reportedAt))/float64(maxRateBackoff)
--- a/balance/rate_limit_test.go
+++ b/balance/rate_limit_test.go
@@ -131,7 +131,7 @@
 		o.RateWait = max(gate.RateWait(), time.Millisecond)
 	}
 	load := gate.Load()
-	o.Load, o.State = &load, call.InstanceState{RateLimit: f.limits[to.ID]}
+	o.Load, o.RateLimit = &load, f.limits[to.ID]
 	time.Sleep(simulatedHop)
 	return o, err
 }
@@ -254,7 +254,7 @@
 				So(ok, ShouldBeTrue)
 				b.Done(in.Incarnation(), o)
 			}
-			report(limited, Outcome{Load: &call.Load{InFlight: 1, Queued: 3, Limit: 1}, State: call.InstanceState{RateLimit: 0.3}})
+			report(limited, Outcome{Load: &call.Load{InFlight: 1, Queued: 3, Limit: 1}, RateLimit: 0.3})
 			pick := func() string {
 				report(busy, Outcome{Load: &call.Load{InFlight: 10, Limit: 20}})
 				c, ok := b.Pick(PickRequest{Instances: []directory.Instance{limited, busy}})
--- a/call/call.go
+++ b/call/call.go
@@ -53,9 +53,10 @@
 	// EndOnSuspicion ends the call as Unknown once the peer is suspected, so
 	// that the sender can retry it at another instance.
 	EndOnSuspicion bool `msgpack:"-"`
-	// Known is what the sender knows of what the destination instance states.
-	// Its node may have restarted since. Between nodes it is part of the frame.
-	Known InstanceState `msgpack:"-"`
+	// KnownRateLimit is the rate limit that the destination instance stated to
+	// the sender, whose node may have restarted since; 0 for none. Between nodes
+	// it is part of the frame.
+	KnownRateLimit float64 `msgpack:"-"`
 	// AwaitRate lets the request wait for the instance's rate limit, because no
 	// other instance takes it. Between nodes it is part of the frame.
 	AwaitRate bool `msgpack:"-"`
--- a/sidecar/mesh_test.go
+++ b/sidecar/mesh_test.go
@@ -260,10 +260,7 @@
 func (m *mesh) stop() {
 	for _, v := range m.vms {
 		if _, draining := v.node.drainingSince(); !draining {
-			close(v.node.stop)
-			v.node.callerServer.Close()
-			v.node.peerServer.CloseConns()
-			v.node.peers.Close()
+			v.stopNode()
 		}
 	}
 	for _, f := range m.cleanups {
@@ -271,6 +268,14 @@
 	}
 }
 
+// stopNode stops the node of v without draining it.
+func (v *vm) stopNode() {
+	close(v.node.stop)
+	v.node.callerServer.Close()
+	v.node.peerServer.CloseConns()
+	v.node.peers.Close()
+}
+
 // reply is the response that a caller received.
 type reply struct {
 	code   int
--- a/sidecar/rate_limit_restart_test.go
+++ b/sidecar/rate_limit_restart_test.go
@@ -13,10 +13,7 @@
 // restartNode stops the node of v without draining it and starts another, which
 // knows the directory but nothing of its target.
 func (m *mesh) restartNode(v *vm) {
-	close(v.node.stop)
-	v.node.callerServer.Close()
-	v.node.peerServer.CloseConns()
-	v.node.peers.Close()
+	v.stopNode()
 	<-v.served
 	m.startNode(v)
 	m.updateAll(2)
--- a/sidecar/statement.go
+++ b/sidecar/statement.go
@@ -170,10 +170,10 @@
 // adoptKnown applies what the sender of a request knows of the local target, in
 // case this node has restarted and has not heard of it yet.
 func (n *Node) adoptKnown(r call.Request) {
-	if r.Known.RateLimit == 0 {
+	if r.KnownRateLimit == 0 {
 		return
 	}
-	before, after := n.targetRate.adopt(n.incarnationOf(r.To), r.Known.RateLimit)
+	before, after := n.targetRate.adopt(n.incarnationOf(r.To), r.KnownRateLimit)
 	n.logRateLimit(r, before, after)
 }
 
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -44,9 +44,9 @@
 	}
 
 	// Gate limits the number of requests that are at a target concurrently,
-	// and the rate at which it gets them, and queues the rest. A queued request can still be refused as not run,
-	// whereas one sent to an overloaded target may remain unanswered. It is
-	// safe for concurrent use.
+	// and the rate at which it gets them, and queues the rest. A queued
+	// request can still be refused as not run, whereas one sent to an
+	// overloaded target may remain unanswered. It is safe for concurrent use.
 	Gate struct {
 		order QueueOrder
 
--- a/slots/rate.go
+++ b/slots/rate.go
@@ -55,9 +55,6 @@
 
 // interval returns the mean time between two requests at the limit.
 func (l *rateLimit) interval() time.Duration {
-	if l == nil {
-		return 0
-	}
 	return time.Duration(float64(time.Second) / float64(l.limiter.Limit()))
 }
 
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -35,8 +35,8 @@
 	// or answer that are rarely set. Versions that do not know it skip it.
 	extension struct {
 		_msgpack  struct{}      `msgpack:",as_array"`
-		RateLimit float64       // call.InstanceState of the request or answer
-		Leaving   bool          // of the same
+		RateLimit float64       // call.Request.KnownRateLimit, or that of call.Answer.State
+		Leaving   bool          // of call.Answer.State
 		AwaitRate bool          // call.Request.AwaitRate
 		RateWait  time.Duration // call.Answer.RateWait
 	}
@@ -104,7 +104,7 @@
 func (f *Frame) extension() extension {
 	switch {
 	case f.Request != nil:
-		return extension{RateLimit: f.Request.Known.RateLimit, Leaving: f.Request.Known.Leaving, AwaitRate: f.Request.AwaitRate}
+		return extension{RateLimit: f.Request.KnownRateLimit, AwaitRate: f.Request.AwaitRate}
 	case f.Answer != nil:
 		return extension{RateLimit: f.Answer.State.RateLimit, Leaving: f.Answer.State.Leaving, RateWait: f.Answer.RateWait}
 	}
@@ -113,11 +113,11 @@
 
 // extend sets the parts of the request or answer from an extension.
 func (f *Frame) extend(x extension) {
-	state := call.InstanceState{RateLimit: x.RateLimit, Leaving: x.Leaving}
 	switch {
 	case f.Request != nil:
-		f.Request.Known, f.Request.AwaitRate = state, x.AwaitRate
+		f.Request.KnownRateLimit, f.Request.AwaitRate = x.RateLimit, x.AwaitRate
 	case f.Answer != nil:
-		f.Answer.State, f.Answer.RateWait = state, x.RateWait
+		f.Answer.State = call.InstanceState{RateLimit: x.RateLimit, Leaving: x.Leaving}
+		f.Answer.RateWait = x.RateWait
 	}
 }
