Call the directory's callbacks with its lock released

Cause: Directory called its callbacks with d.mu held. They take locks of eleven other types (account.Limiter, admit.DemandMeter, balance.Balancer and Health, slots.Gate and SlowdownEstimator, targetconn.Pool, vouch.Checker, and targetRate, pendingQueries and, through the gate, rateLimit's timer in sidecar). Whoever asked the Directory with one of these held waited for d.mu while its holder waited for that lock. Only a comment forbade it.

Why it works: views are queued under d.mu and passed on after it is released, by one goroutine at a time, in order, so nothing is waited for with d.mu held. A change made by another goroutine meanwhile returns at once and is passed on by the first. View() is stored under d.mu as before, so requests see a change no later than before. TestCallbacksGetEveryViewInOrder (once each, in order, the last before the last change returns) and TestCallbacksGoOnAfterPanic guard what the queue could break.

Ruled out: waiting in Replace or Apply until the view is passed on, since the wait would be the same deadlock again with a callback's lock held by the caller.

--- a/directory/delta.go
+++ b/directory/delta.go
@@ -129,7 +129,7 @@
 // the new revision. It is safe for concurrent use.
 func (d *Directory) ApplyDelta(x Delta) bool {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	if x.After > d.revision {
 		return false // applying it would skip the changes in between
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -82,7 +82,7 @@
 		invalidEntries int           // total since the start
 		deltaApplied   chan struct{} // capacity 1; signals that ApplyDelta advanced revision during a watch
 		advanced       chan struct{} // closed and replaced when revision advances
-		onChange       []func(*View)
+		callbacks      callbacks
 	}
 )
 
@@ -110,20 +110,11 @@
 	return d.hasSnapshot
 }
 
-// OnChange registers f to be called with every new view. Calls do not overlap.
-// They are made with the Directory locked, so f must return quickly and must
-// not call back into it, except for View.
-func (d *Directory) OnChange(f func(*View)) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.onChange = append(d.onChange, f)
-}
-
 // Replace applies a snapshot. Entries missing from it are removed, or kept as
 // unconfirmed after an outage of the source. It is safe for concurrent use.
 func (d *Directory) Replace(s Snapshot) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	d.replaceLocked(s)
 }
 
@@ -180,7 +171,7 @@
 // known. It is safe for concurrent use.
 func (d *Directory) Apply(changes []Change, upTo Revision) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	d.applyLocked(changes, upTo)
 }
 
@@ -273,7 +264,7 @@
 	d.log.WithFields(log.Fields{"instance": id, "why": reason}).Info("instance_gone")
 }
 
-// publish builds the current view and passes it to the callbacks.
+// publish builds the current view. unlock passes it to the callbacks.
 func (d *Directory) publish() {
 	for id, in := range d.instances {
 		u, ok := d.unlisted[id]
@@ -282,9 +273,7 @@
 	}
 	v := newView(d.routes, d.statedLeavings.applyTo(d.doubts.applyTo(d.instances)))
 	d.view.Store(v)
-	for _, f := range d.onChange {
-		f(v)
-	}
+	d.callbacks.pending = append(d.callbacks.pending, v)
 }
 
 // InvalidEntries returns the number of invalid entries read since the start. It
--- a/directory/leaving.go
+++ b/directory/leaving.go
@@ -21,7 +21,7 @@
 // safe for concurrent use.
 func (d *Directory) MarkLeaving(of Incarnation) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	if _, known := d.statedLeavings[of]; known {
 		return
 	}
--- a/directory/unlisted.go
+++ b/directory/unlisted.go
@@ -18,7 +18,7 @@
 // concurrent use.
 func (d *Directory) ConfirmUnlisted(at Incarnation, until time.Time) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	u, ok := d.unlistedAt(at)
 	if !ok {
 		return
@@ -34,7 +34,7 @@
 // safe for concurrent use.
 func (d *Directory) DropUnlisted(at Incarnation) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	if _, ok := d.unlistedAt(at); ok {
 		d.drop(at.ID, "not confirmed by its node")
 		d.publish()
@@ -51,7 +51,7 @@
 // concurrent use.
 func (d *Directory) ExpireUnlisted() {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	now := time.Now()
 	changed := d.expireDoubts(now)
 	for id, u := range d.unlisted {
--- a/vouch/checker.go
+++ b/vouch/checker.go
@@ -53,8 +53,7 @@
 		// healthy.
 		Probe func(ctx context.Context, in directory.Instance) ServingStatus
 		// LastSourceFailure returns when other requests of this node to the
-		// source last failed, or zero for never. It may lock what Observe is
-		// called under.
+		// source last failed, or zero for never. It may take locks.
 		LastSourceFailure func() time.Time
 	}
 
@@ -140,8 +139,7 @@
 	go func() { probed <- c.cfg.Probe(ctx, in) }()
 	listed, err := c.cfg.Listed(ctx, in.ID)
 	status := <-probed
-	// Observe is called with the directory locked, so a call into the directory
-	// with c.mu held would be a deadlock, in which the node answers nothing.
+	// The directory takes its own lock, so it is not asked with c.mu held.
 	sourceFailedAt := c.cfg.LastSourceFailure()
 	c.mu.Lock()
 	defer c.mu.Unlock()
