Guard what the goroutines of the rate limit simulation share

The type's comment took a bubble for one goroutine at a time.

Before: go test -race ./balance reported 25 data races in three tests, at rate_limit_test.go:126, and failed. After: none, and the package passes under -race. No check or bound is changed.

--- a/balance/rate_limit_test.go
+++ b/balance/rate_limit_test.go
@@ -31,16 +31,17 @@
 
 type (
 	// rateLimitedFleet simulates instances of one service with rate limits and
-	// the nodes that send requests to them. Only the goroutines of one synctest
-	// bubble use it.
+	// the nodes that send requests to them.
 	rateLimitedFleet struct {
 		senders   []*Balancer
 		instances []directory.Instance
 		gates     map[directory.InstanceID]*slots.Gate
-		limits    map[directory.InstanceID]float64
-		admitted  map[directory.InstanceID][]time.Time
 		done      chan fleetResult
 		requests  sync.WaitGroup // in progress, and the loads that send them
+
+		mu       sync.Mutex
+		limits   map[directory.InstanceID]float64
+		admitted map[directory.InstanceID][]time.Time
 	}
 
 	// fleetResult is the result of one request.
@@ -75,10 +76,26 @@
 // setLimit sets the rate limit of an instance; 0 for none.
 func (f *rateLimitedFleet) setLimit(instance int, perSecond float64) {
 	id := f.instances[instance].ID
+	f.mu.Lock()
 	f.limits[id] = perSecond
+	f.mu.Unlock()
 	f.gates[id].SetRate(perSecond)
 }
 
+// limit returns the rate limit of an instance.
+func (f *rateLimitedFleet) limit(id directory.InstanceID) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limits[id]
+}
+
+// recordAdmission records that an instance got a request now.
+func (f *rateLimitedFleet) recordAdmission(id directory.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.admitted[id] = append(f.admitted[id], time.Now())
+}
+
 // load sends requests of a rank at a rate from random senders for a period.
 func (f *rateLimitedFleet) load(rank int, perSecond float64, period time.Duration) {
 	f.requests.Go(func() {
@@ -123,7 +140,7 @@
 	o := Outcome{Route: "r", NotRun: err != nil}
 	switch {
 	case err == nil:
-		f.admitted[to.ID] = append(f.admitted[to.ID], time.Now())
+		f.recordAdmission(to.ID)
 		time.Sleep(simulatedService)
 		gate.Release(simulatedService)
 		o.Latency = simulatedService
@@ -131,7 +148,7 @@
 		o.RateWait = max(gate.RateWait(), time.Millisecond)
 	}
 	load := gate.Load()
-	o.Load, o.RateLimit = &load, f.limits[to.ID]
+	o.Load, o.RateLimit = &load, f.limit(to.ID)
 	time.Sleep(simulatedHop)
 	return o, err
 }
@@ -155,6 +172,8 @@
 
 // admittedSince returns how many requests an instance got since a time.
 func (f *rateLimitedFleet) admittedSince(instance int, from time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	n := 0
 	for _, at := range f.admitted[f.instances[instance].ID] {
 		if !at.Before(from) {
