Read counters of the tests of vouch and directory under their guards

go test -race ./vouch ./directory reported a data race each and failed in TestConcurrentVouchesShareOneCheck (checker_test.go:30 and 115) and TestChangesInQuickSuccessionShareWatch (reader_test.go:113 and 165): the test read how many calls there were while goroutines of the bubble still counted. The checks are as they were.

--- a/directory/reader_test.go
+++ b/directory/reader_test.go
@@ -133,6 +133,12 @@
 	return []Change{{Instance: &in}}, rev, nil
 }
 
+func (s *changingSource) watches() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *changingSource) change() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -162,7 +168,7 @@
 		Convey("Changes in quick succession share a call, and all are known in time", t, func() {
 			So(d.Revision(), ShouldEqual, 20)
 			// Ten groups 0.4 s apart, each of two changes 0.1 s apart.
-			So(src.calls, ShouldBeLessThan, 14)
+			So(src.watches(), ShouldBeLessThan, 14)
 		})
 		cancel()
 		synctest.Wait()
--- a/vouch/checker_test.go
+++ b/vouch/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,8 +19,8 @@
 	listed            bool
 	sourceReachable   bool // by this node
 	status            ServingStatus
-	lastSourceFailure time.Time // last failure of other requests to the source
-	lookups           int       // number of Listed calls
+	lastSourceFailure time.Time    // last failure of other requests to the source
+	lookups           atomic.Int32 // number of Listed calls
 	sourceLatency     time.Duration
 	instance          directory.Instance
 }
@@ -27,7 +28,7 @@
 func (e *fakeEnv) newChecker() *Checker {
 	checker := NewChecker(Config{
 		Listed: func(ctx context.Context, _ directory.InstanceID) (bool, error) {
-			e.lookups++
+			e.lookups.Add(1)
 			if !e.sourceReachable {
 				return false, errNoAnswer
 			}
@@ -112,7 +113,7 @@
 				}
 				time.Sleep(RenewInterval)
 			}
-			So(e.lookups, ShouldBeLessThanOrEqualTo, 5)
+			So(e.lookups.Load(), ShouldBeLessThanOrEqualTo, 5)
 		})
 	})
 }
@@ -127,7 +128,7 @@
 			Listed: func(context.Context, directory.InstanceID) (bool, error) { return false, nil },
 			Probe:  func(context.Context, directory.Instance) ServingStatus { return Serving },
 			LastSourceFailure: func() time.Time {
-				c.Observe(in) // as a change of the directory does, with the directory locked
+				c.Observe(in) // as a change of the directory does
 				return time.Now()
 			},
 		})
