Add a node to the crash mesh only when no restart goes through its nodes

go test -race ./sidecar reported one data race and failed in TestNodesShareSuspectRequests: the test appended a node (quarantine_test.go:201) while the restart of a crashed target went through the list to tell all nodes of it (110). The restart is waited for first. Three runs of the test under -race pass. Its checks are as they were.

--- a/sidecar/quarantine_test.go
+++ b/sidecar/quarantine_test.go
@@ -196,6 +196,7 @@
 			}
 			So(v.ip+" "+strconv.FormatBool(knows(v)), ShouldEqual, v.ip+" true")
 		}
+		f.awaitRestarts() // they go through vms
 		f.seeds = []string{f.vms[1].node.cfg.ControlAddr}
 		v := f.mesh.startVM("127.0.0.40", "archiv")
 		f.vms = append(f.vms, v)
