Guard what the nodes of the replication tests read of each other

A node of the simulated fleet is started and killed by the test's goroutine while other nodes poll it: its Syncer, directory and life were read and written at once. go test -race -run TestNodesMatchStoreHistory -rapid.checks=4 reported two data races (fake_test.go:285 and 339, 336 and 343) and failed; it passes now. The whole package under -race was not run to its end: it took over 7 GB beside other work and was stopped; its other tests under -race had not ended after five minutes beside a load of 17. No check is changed.

--- a/replication/fake_test.go
+++ b/replication/fake_test.go
@@ -58,13 +58,16 @@
 		isolated         atomic.Bool // the node reaches neither the store nor other nodes
 	}
 
-	// node is a Syncer with its link and lifecycle.
+	// node is a Syncer with its link and lifecycle. Only the goroutine of the
+	// test starts and kills it; other nodes read what that changes by running.
 	node struct {
-		*Syncer
 		fleet *fleet
 		link  *link
 		addr  Addr
 		in    directory.Instance
+
+		mu sync.Mutex // guards the following fields
+		*Syncer
 		dir   *directory.Directory
 		stop  context.CancelFunc
 		alive bool
@@ -282,7 +285,7 @@
 	f, o := n.fleet, n.fleet.nodes[at]
 	f.messages.Add(1)
 	switch {
-	case o == nil || !o.alive:
+	case o == nil || !o.isAlive():
 		directory.Pause(ctx, 2*peerLatency)
 		return directory.Delta{}, errUnreachable
 	case f.partitioned(n, o):
@@ -290,13 +293,14 @@
 		return directory.Delta{}, errUnreachable
 	}
 	directory.Pause(ctx, peerLatency)
-	o.PeerPolled()
-	x := o.dir.Await(ctx, after, wait)
+	syncer, dir := o.running()
+	syncer.PeerPolled()
+	x := dir.Await(ctx, after, wait)
 	if f.partitioned(n, o) {
 		directory.Pause(ctx, peerTimeout)
 		return directory.Delta{}, errUnreachable
 	}
-	if !o.dir.HasSnapshot() || !o.alive {
+	if _, dir := o.running(); !dir.HasSnapshot() || !o.isAlive() {
 		return directory.Delta{}, errUnreachable
 	}
 	b, err := directory.Encode(x)
@@ -332,6 +336,8 @@
 }
 
 func (n *node) start() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	ctx, stop := context.WithCancel(context.Background())
 	n.dir, n.stop, n.alive = directory.New(directory.DefaultConfig(discardLog)), stop, true
 	n.Syncer = New(Config{Directory: n.dir, Source: n.link, Peers: n, Self: n.addr, DC: n.in.DC, Seeds: n.fleet.seeds, Log: discardLog,
@@ -340,10 +346,25 @@
 }
 
 func (n *node) kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.alive = false
 	n.stop()
 }
 
+func (n *node) isAlive() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.alive
+}
+
+// running returns the Syncer and the Directory of the latest start.
+func (n *node) running() (*Syncer, *directory.Directory) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Syncer, n.dir
+}
+
 func (f *fleet) close() {
 	for _, n := range f.order {
 		n.stop()
