Give back the memory of a request's body before its answer is written

What callers saw: 503 "no memory for the body" from a node with nothing to do, for as long as some other caller did not read its answer.

Cause: the bytes of a body counted as held until the answer was written. A caller that is frozen, or never reads, keeps that write from ending; its kernel goes on acknowledging, so no keep-alive ends it either. A few such callers use up the memory for all bodies without end.

Evidence: TestCallerThatDoesNotReadHoldsNoBody failed (503) and passes.

The body is not needed once the request has been forwarded, so it is released then, and dropped from the request so that the memory is free and not only counted as such.

--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -53,14 +53,24 @@
 		n.refuse(w, r, refused)
 		return
 	}
-	defer n.heldBodyBytes.Add(-int64(len(q.Body)))
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	a := n.forward(ctx, q)
+	a := n.forwardBody(ctx, q)
 	n.recordOutcome(q, a, errors.Is(ctx.Err(), context.Canceled))
 	n.writeAnswer(w, q, a)
 }
 
+// forwardBody forwards a request and gives back the memory of its body. The body
+// does not count while the answer is written, which takes as long as the caller
+// reads: one that does not read would leave no memory for others.
+func (n *Node) forwardBody(ctx context.Context, q *request) call.Answer {
+	defer func() {
+		n.heldBodyBytes.Add(-int64(len(q.Body)))
+		q.Body = nil
+	}()
+	return n.forward(ctx, q)
+}
+
 // recordOutcome updates statistics and admission control with the result of a
 // request; canceled is set if the caller disconnected.
 func (n *Node) recordOutcome(q *request, a call.Answer, canceled bool) {
