--- a/sidecar/stalled_caller_test.go
+++ b/sidecar/stalled_caller_test.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -59,3 +61,44 @@
 		So(got.code, ShouldEqual, http.StatusOK)
 	})
 }
+
+// Guards against answers that stay in memory without end because their callers
+// do not read them.
+func TestCallerThatDoesNotReadIsDisconnected(t *testing.T) {
+	m := newMesh(t, "archiv")
+	v := m.vms[0]
+	Convey("The request ends soon after the stall timeout", t, func() {
+		stallCaller(m, v)
+		So(v.node.activeRequests.Load(), ShouldEqual, 1)
+		time.Sleep(answerStallTimeout + time.Second)
+		So(v.node.activeRequests.Load(), ShouldEqual, 0)
+	})
+}
+
+// Guards against answers that are cut because their callers read slowly, and
+// against later answers on the connection that are cut by their time limit.
+func TestCallerThatReadsSlowlyGetsWholeAnswer(t *testing.T) {
+	m := newMesh(t, "archiv")
+	v := m.vms[0]
+	Convey("An answer that takes longer than the stall timeout is whole, and so is the next", t, func() {
+		c := stallCaller(m, v)
+		r := bufio.NewReader(c)
+		resp, err := http.ReadResponse(r, nil)
+		So(err, ShouldBeNil)
+		began, read := time.Now(), int64(0)
+		for err == nil {
+			var n int64
+			n, err = io.CopyN(io.Discard, resp.Body, largeAnswer/32)
+			read += n
+			time.Sleep(answerStallTimeout / 30)
+		}
+		So(err, ShouldEqual, io.EOF)
+		So(read, ShouldEqual, largeAnswer)
+		So(time.Since(began), ShouldBeGreaterThan, answerStallTimeout)
+		time.Sleep(answerStallTimeout)
+		fmt.Fprint(c, "GET /read/z HTTP/1.1\r\nHost: h\r\nRequest-Id: next\r\n\r\n")
+		resp, err = http.ReadResponse(r, nil)
+		So(err, ShouldBeNil)
+		So(resp.StatusCode, ShouldEqual, http.StatusOK)
+	})
+}
