Let nodes of the soak write their goroutines when a run fails

The line of TestSeedWithUnansweredRequest in the list of known failures could not be traced: a node gave no response, and its log ended with lines that tell nothing of why. Which lock or channel a node waits for is in no log line and no metric.

When a check fails now, and at once when a node gives no response on the added route, the nodes get SIGQUIT before they are stopped, so that their goroutines stand at the end of the logs that are kept. No check is changed.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -25,6 +25,8 @@
 	// shutdownSlack allows for a slow machine on top of shutdownGrace.
 	shutdownSlack = 3 * time.Second
 	slots         = 20
+	// dumpTimeout is how long a node may take to write its goroutines.
+	dumpTimeout = 5 * time.Second
 	// restartDelay is the time from the crash of a target to its replacement.
 	restartDelay = 400 * time.Millisecond
 )
@@ -233,16 +235,40 @@
 // waitNode waits for the process of a node to exit. After the timeout, it
 // records the node as late and kills the process.
 func (d *deployment) waitNode(v *vm, timeout time.Duration) {
+	if v.exitsWithin(timeout) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lateStops = append(d.lateStops, fmt.Sprintf("node-%d did not exit within %s of SIGTERM", v.n, timeout))
+}
+
+// exitsWithin waits for the process of the node to exit, and kills it after the
+// timeout. It reports whether the process exited by itself.
+func (v *vm) exitsWithin(timeout time.Duration) bool {
 	done := make(chan struct{})
 	go func() { v.cmd.Wait(); close(done) }()
 	select {
 	case <-done:
+		return true
 	case <-time.After(timeout):
-		d.mu.Lock()
-		d.lateStops = append(d.lateStops, fmt.Sprintf("node-%d did not exit within %s of SIGTERM", v.n, timeout))
-		d.mu.Unlock()
 		v.cmd.Process.Kill()
 		<-done
+		return false
+	}
+}
+
+// dumpGoroutines ends nodes so that they write their goroutines to their logs:
+// what a node that does not answer waits for is in no other line.
+func (d *deployment) dumpGoroutines(vms ...*vm) {
+	for _, v := range vms {
+		if err := v.cmd.Process.Signal(syscall.SIGQUIT); err != nil {
+			d.t.Logf("node-%d wrote no goroutines: %v", v.n, err)
+			continue
+		}
+		if !v.exitsWithin(dumpTimeout) {
+			d.t.Logf("node-%d did not exit within %s of SIGQUIT", v.n, dumpTimeout)
+		}
 	}
 }
 
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -64,8 +64,11 @@
 	time.Sleep(changeTimeout)
 	var unheard []string
 	for _, v := range d.vms {
-		if code, err := d.addedRouteStatus(v); code != http.StatusOK {
+		if code, err := d.requestStatus(v, "/added/"); code != http.StatusOK {
 			unheard = append(unheard, fmt.Sprintf("node-%d answers %d on the added route, error %v; its log ends with %s", v.n, code, err, d.logTail(v)))
+			if err != nil {
+				d.dumpGoroutines(v)
+			}
 		}
 	}
 	before := v.target.TotalExecutions()
@@ -86,11 +89,11 @@
 	return string(b[max(len(b)-length, 0):])
 }
 
-// addedRouteStatus returns the status of a request on the added route, 0 with an
-// error without a response.
-func (d *deployment) addedRouteStatus(v *vm) (int, error) {
+// requestStatus returns the status of a request with a path, 0 with an error
+// without a response.
+func (d *deployment) requestStatus(v *vm, path string) (int, error) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
-	req, err := http.NewRequest(http.MethodPost, "http://"+d.callerAddr(v)+"/added/", strings.NewReader("x"))
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.callerAddr(v)+path, strings.NewReader("x"))
 	d.must(err)
 	req.Host = "h"
 	req.Header.Set(platform.Headers.RequestID, fmt.Sprintf("a%d", d.lastID.Add(1)))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -67,30 +67,43 @@
 // and targets observed.
 func checkInvariants(t *testing.T, bin string, seed uint64, period time.Duration) {
 	Convey(fmt.Sprintf("Seed %d", seed), t, func() {
-		d := startDeployment(t, bin, seed)
-		passed := false
-		defer func() { d.keepLogsUnless(passed) }()
-		defer d.stop()
-		d.waitServing(10 * time.Second)
-		d.injectFaults(seed, period)
-		time.Sleep(recoveryTime)
-		recovered := time.Now()
-		successRate := d.successRate(observationTime)
-		unused := d.unusedTargets(recovered)
-		unheard := d.changesLostInRestore()
-		furtherCrashes := d.sendPoisonAfterRecovery()
-		d.stopCallers()
-		d.restarts.Wait()
-		So(unheard, ShouldBeEmpty)
-		So(unused, ShouldBeEmpty)
-		So(d.violations(), ShouldBeEmpty)
-		So(successRate, ShouldBeGreaterThan, minSuccessRate)
-		So(furtherCrashes, ShouldBeLessThanOrEqualTo, maxFurtherCrashes)
-		passed = true
-		t.Logf("seed %d: %s; %d targets crashed by the poison request, %d of them after recovery", seed, d.statusCounts(), d.crashCount(), furtherCrashes)
+		withDeployment(t, bin, seed, func(d *deployment) {
+			d.injectFaults(seed, period)
+			time.Sleep(recoveryTime)
+			recovered := time.Now()
+			successRate := d.successRate(observationTime)
+			unused := d.unusedTargets(recovered)
+			unheard := d.changesLostInRestore()
+			furtherCrashes := d.sendPoisonAfterRecovery()
+			d.stopCallers()
+			d.restarts.Wait()
+			So(unheard, ShouldBeEmpty)
+			So(unused, ShouldBeEmpty)
+			So(d.violations(), ShouldBeEmpty)
+			So(successRate, ShouldBeGreaterThan, minSuccessRate)
+			So(furtherCrashes, ShouldBeLessThanOrEqualTo, maxFurtherCrashes)
+			t.Logf("seed %d: %s; %d targets crashed by the poison request, %d of them after recovery", seed, d.statusCounts(), d.crashCount(), furtherCrashes)
+		})
 	})
 }
 
+// withDeployment calls f with a deployment that serves. If f does not return,
+// because a check failed, the nodes write their goroutines and the logs are kept.
+func withDeployment(t *testing.T, bin string, seed uint64, f func(*deployment)) {
+	d := startDeployment(t, bin, seed)
+	passed := false
+	defer func() { d.keepLogsUnless(passed) }()
+	defer d.stop()
+	defer func() {
+		if !passed {
+			d.dumpGoroutines(d.vms...)
+		}
+	}()
+	d.waitServing(10 * time.Second)
+	f(d)
+	passed = true
+}
+
 // sendPoisonAfterRecovery sends the poison request to the nodes in turn and
 // returns how many targets it crashed, not counting the first three of the run.
 func (d *deployment) sendPoisonAfterRecovery() int {
