Answer duplicates of a call whose run panicked at once

What callers saw: a retry with the key of a call whose run panicked, in node, waited until its deadline, and so did each one after it, for the ten minutes that the key is remembered. net/http recovers the panic, so the node goes on.

Cause: the execution that duplicates wait for was completed after the run returned only. It is completed by a deferred call now, as Unknown after a panic: the call may have run, and must not run again.

Evidence: TestDuplicateOfPanickedRunIsAnsweredAtOnce failed (two duplicates took two minutes, their whole time, instead of the second that the run takes) and passes. Found by looking for waits before a caller; no run of the system has shown it.

--- a/filter/dedup.go
+++ b/filter/dedup.go
@@ -53,19 +53,31 @@
 			if !first {
 				return awaitExecution(ctx, c, e)
 			}
-			a := next.Serve(ctx, c)
-			e.answer.Store(&a)
-			if a.Status == call.NotRun && !a.Declined {
-				d.window.Delete(c.Request.Key)
-			} else {
-				d.retain(e, len(a.Body)+answerOverheadBytes)
-			}
-			close(e.done)
-			return a
+			return d.run(ctx, c, next, e)
 		})
 	}
 }
 
+// run executes the first call with a key and stores its answer. If next panics,
+// duplicates are told that the call may have run: they would otherwise wait
+// until their deadlines, for as long as the key is remembered.
+func (d *Dedup) run(ctx context.Context, c *Call, next Handler, e *execution) (a call.Answer) {
+	a = call.Answer{ID: c.Request.ID, Status: call.Unknown, Reason: "this key ran and ended without an answer"}
+	defer func() { d.finish(c.Request.Key, e, a) }()
+	a = next.Serve(ctx, c)
+	return a
+}
+
+func (d *Dedup) finish(key call.Key, e *execution, a call.Answer) {
+	e.answer.Store(&a)
+	if a.Status == call.NotRun && !a.Declined {
+		d.window.Delete(key)
+	} else {
+		d.retain(e, len(a.Body)+answerOverheadBytes)
+	}
+	close(e.done)
+}
+
 // retain adds the answer of a finished execution and evicts the oldest
 // answers beyond maxAnswerBytes, which bounds memory under a high rate of
 // large answers. Evicted keys stay in the window: duplicates are answered
--- a/filter/dedup_test.go
+++ b/filter/dedup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/oatpin/oatpin/call"
@@ -34,3 +35,35 @@
 		So(executions, ShouldResemble, map[call.Key]int{"a": 1, "b": 1, "c": 1})
 	})
 }
+
+// Guards against callers that wait until their deadline for the answer to a key
+// whose run panicked.
+func TestDuplicateOfPanickedRunIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Duplicates are told that the call may have run, and it does not run again", t, func() {
+			runs := 0
+			h := Chain(HandlerFunc(func(context.Context, *Call) call.Answer {
+				runs++
+				time.Sleep(time.Second)
+				panic("in the run")
+			}), NewDedup(time.Hour, 1<<20).Filter())
+			send := func(id call.RequestID) call.Answer {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				return h.Serve(ctx, &Call{Request: &call.Request{ID: id, Key: "k"}, Op: &callgraph.Operation{}})
+			}
+			began := time.Now()
+			during := make(chan call.Answer, 1)
+			go func() {
+				time.Sleep(time.Millisecond)
+				during <- send("during")
+			}()
+			So(func() { send("first") }, ShouldPanic)
+			for _, a := range []call.Answer{<-during, send("after")} {
+				So(a.Status, ShouldEqual, call.Unknown)
+			}
+			So(time.Since(began), ShouldEqual, time.Second)
+			So(runs, ShouldEqual, 1)
+		})
+	})
+}
