Guard what the nodes of the account tests read of each other

go test -race on two of account's tests reported data races and failed (fleet_test.go: a node's exchange, life and cut are set while others report to it; counts of messages are added up by all; the list of nodes grows while the first of them run). Those are atomic now, and nodes are started once all are there.

No check or bound is changed.

--- a/account/fleet_test.go
+++ b/account/fleet_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,38 +35,38 @@
 
 type (
 	// fleet simulates the nodes of several data centres and the callers of
-	// several accounts.
+	// several accounts. The callers run in the goroutine of the test.
 	fleet struct {
 		rng           *rand.Rand
-		registry      *Registry
+		accounts      atomic.Pointer[Registry]
 		nodes         []*node
 		dcs           int
-		partitionedDC int              // index of the disconnected data centre; -1 for none
+		partitionedDC atomic.Int64     // index of the disconnected data centre; -1 for none
 		baseRate      map[Name]float64 // requests per second
 		load          map[Name]float64 // current multiple of baseRate
 		entryNodes    map[Name][]int   // nodes that receive an account's requests
 		admitted      map[Name][]time.Time
 		requested     map[Name]int // excluding requests at partitioned nodes
 		refused       map[Name]int // of the requested
-		messages      int
-		bytes         int // of message bodies
+		messages      atomic.Int64
+		bytes         atomic.Int64 // of message bodies
 	}
 
 	node struct {
 		f           *fleet
 		i, dc       int
 		limiter     *Limiter
-		x           *Exchange
+		x           atomic.Pointer[Exchange]
 		stop        context.CancelFunc
-		alive       bool
-		partitioned bool // disconnected from all other nodes
+		alive       atomic.Bool
+		partitioned atomic.Bool // disconnected from all other nodes
 	}
 )
 
 // newFleet creates accounts whose base rates follow a Zipf distribution. Each
 // limit is 1.6 times the account's base rate.
 func newFleet(t testing.TB, seed uint64, nodes, dcs, accounts int, totalRate float64) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 7)), dcs: dcs, partitionedDC: -1, baseRate: map[Name]float64{}, load: map[Name]float64{},
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 7)), dcs: dcs, baseRate: map[Name]float64{}, load: map[Name]float64{},
 		entryNodes: map[Name][]int{}, admitted: map[Name][]time.Time{}, requested: map[Name]int{}, refused: map[Name]int{}}
 	var sum float64
 	for i := range accounts {
@@ -82,29 +83,41 @@
 			f.entryNodes[a.Name] = append(f.entryNodes[a.Name], f.rng.IntN(nodes))
 		}
 	}
-	var err error
-	if f.registry, err = NewRegistry(all); err != nil {
-		t.Fatal(err)
-	}
+	f.partitionedDC.Store(-1)
+	f.setAccounts(t, all)
 	for i := range nodes {
 		f.nodes = append(f.nodes, &node{f: f, i: i, dc: i % dcs})
-		f.nodes[i].start()
+	}
+	for _, n := range f.nodes {
+		n.start()
 	}
 	return f
 }
 
+func (f *fleet) registry() *Registry { return f.accounts.Load() }
+
+func (f *fleet) setAccounts(t testing.TB, all []Account) {
+	r, err := NewRegistry(all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.accounts.Store(r)
+}
+
 func (n *node) source() Source { return Source(strconv.Itoa(n.i)) }
 
 func (n *node) start() {
 	ctx, stop := context.WithCancel(context.Background())
-	n.limiter, n.stop, n.alive = NewLimiter(), stop, true
-	n.x = NewExchange(ExchangeConfig{Self: n.source(), DC: Source(fmt.Sprint("dc", n.dc)), Registry: func() *Registry { return n.f.registry },
+	n.limiter, n.stop = NewLimiter(), stop
+	x := NewExchange(ExchangeConfig{Self: n.source(), DC: Source(fmt.Sprint("dc", n.dc)), Registry: n.f.registry,
 		Collectors: n.collectors, Send: n.send, OnError: func(Source, error) {}}, n.limiter)
-	go n.x.Run(ctx)
+	n.x.Store(x)
+	n.alive.Store(true)
+	go x.Run(ctx)
 }
 
 func (n *node) kill() {
-	n.alive = false
+	n.alive.Store(false)
 	n.stop()
 }
 
@@ -125,22 +138,23 @@
 		return nil, err
 	}
 	peer := n.f.nodes[i]
-	n.f.messages += 2
+	n.f.messages.Add(2)
 	wait := func(d time.Duration) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(d):
 		}
 	}
-	if n.partitioned || peer.partitioned || (n.dc != peer.dc && (n.f.partitionedDC == n.dc || n.f.partitionedDC == peer.dc)) {
+	cutOff := int(n.f.partitionedDC.Load())
+	if n.partitioned.Load() || peer.partitioned.Load() || (n.dc != peer.dc && (cutOff == n.dc || cutOff == peer.dc)) {
 		wait(partitionDelay)
 		return nil, errPartitioned
 	}
 	wait(networkDelay)
-	if !peer.alive || !n.alive {
+	if !peer.alive.Load() || !n.alive.Load() {
 		return nil, errPartitioned
 	}
-	quotas := peer.x.HandleReport(r)
+	quotas := peer.x.Load().HandleReport(r)
 	n.f.countBytes(r)
 	n.f.countBytes(Quotas{Entries: quotas})
 	wait(networkDelay)
@@ -152,26 +166,26 @@
 	if err != nil {
 		panic(err)
 	}
-	f.bytes += len(b)
+	f.bytes.Add(int64(len(b)))
 }
 
 // run simulates requests for a duration.
 func (f *fleet) run(d time.Duration) {
 	for range d / tickInterval {
-		for i := range f.registry.All() {
-			a := &f.registry.All()[i]
+		for i := range f.registry().All() {
+			a := &f.registry().All()[i]
 			for range f.poisson(f.baseRate[a.Name] * max(f.load[a.Name], 1) * tickInterval.Seconds()) {
 				n := f.nodes[f.entryNodes[a.Name][f.rng.IntN(len(f.entryNodes[a.Name]))]]
-				if !n.alive {
+				if !n.alive.Load() {
 					continue
 				}
-				if !n.partitioned {
+				if !n.partitioned.Load() {
 					f.requested[a.Name]++
 				}
 				if ok, retryAfter := n.limiter.Allow(a); ok {
 					f.admitted[a.Name] = append(f.admitted[a.Name], time.Now())
 				} else {
-					if !n.partitioned {
+					if !n.partitioned.Load() {
 						f.refused[a.Name]++
 					}
 					if retryAfter <= 0 || retryAfter > maxRetryAfter {
@@ -197,8 +211,8 @@
 func (f *fleet) worstWindow() (Name, float64) {
 	var worst Name
 	var most float64
-	for i := range f.registry.All() {
-		a := &f.registry.All()[i]
+	for i := range f.registry().All() {
+		a := &f.registry().All()[i]
 		allowed := (a.Rate*limitWindow.Seconds()+a.Burst)*limitTolerance + limitSlack
 		times, from := f.admitted[a.Name], 0
 		for to := range times {
@@ -251,7 +265,7 @@
 					f := newFleet(t, seed, s.nodes, s.dcs, s.accounts, s.totalRate)
 					scenario(t, f)
 					name, worst := f.worstWindow()
-					t.Logf("worst window: account %s at %.2f of the allowed requests; refused fraction %.4f; %d messages", name, worst, f.refusedFraction(), f.messages)
+					t.Logf("worst window: account %s at %.2f of the allowed requests; refused fraction %.4f; %d messages", name, worst, f.refusedFraction(), f.messages.Load())
 					Convey("No window exceeds the allowed number of requests", t, func() { So(worst, ShouldBeLessThanOrEqualTo, 1) })
 					f.close()
 					time.Sleep(time.Minute)
@@ -268,9 +282,9 @@
 	runOnFleets(t, fleetSizes, func(t *testing.T, f *fleet) {
 		f.run(3 * time.Second)
 		f.resetCounts()
-		messages, bytes := f.messages, f.bytes
+		messages, bytes := f.messages.Load(), f.bytes.Load()
 		f.run(20 * time.Second)
-		t.Logf("per node: %.1f messages/s, %.0f B/s of message bodies", float64(f.messages-messages)/20/float64(len(f.nodes)), float64(f.bytes-bytes)/20/float64(len(f.nodes)))
+		t.Logf("per node: %.1f messages/s, %.0f B/s of message bodies", float64(f.messages.Load()-messages)/20/float64(len(f.nodes)), float64(f.bytes.Load()-bytes)/20/float64(len(f.nodes)))
 		Convey("Fewer than one request in a thousand is refused", t, func() { So(f.refusedFraction(), ShouldBeLessThan, 0.001) })
 	})
 }
@@ -284,7 +298,7 @@
 			f.load[name] = surgeFactor
 			f.resetCounts()
 			f.run(8 * time.Second)
-			a := f.registry.ByName(name)
+			a := f.registry().ByName(name)
 			got := f.requested[name] - f.refused[name]
 			Convey("The account gets most of its limit, and other accounts are not refused", t, func() {
 				So(float64(got), ShouldBeGreaterThan, 0.75*a.Rate*8)
@@ -324,9 +338,9 @@
 			f.run(4 * time.Second)
 			f.load["a0"], f.load["a5"] = surgeFactor, surgeFactor
 			f.run(before)
-			f.partitionedDC = 1
+			f.partitionedDC.Store(1)
 			f.run(6 * time.Second)
-			f.partitionedDC = -1
+			f.partitionedDC.Store(-1)
 			f.run(4 * time.Second)
 			f.load["a0"], f.load["a5"] = 1, 1
 			f.run(4 * time.Second)
@@ -346,11 +360,11 @@
 	f.load["a0"], f.load["a5"] = surgeFactor, surgeFactor
 	f.run(500 * time.Millisecond)
 	for i, n := range f.nodes {
-		n.partitioned = i%3 == 1
+		n.partitioned.Store(i%3 == 1)
 	}
 	f.run(6 * time.Second)
 	for _, n := range f.nodes {
-		n.partitioned = false
+		n.partitioned.Store(false)
 	}
 	f.nodes[0].kill()
 	f.run(4 * time.Second)
@@ -369,14 +383,14 @@
 		}
 		f.run(time.Second)
 		for i, n := range f.nodes {
-			n.partitioned = i%20 >= 1 && i%20 < 8
+			n.partitioned.Store(i%20 >= 1 && i%20 < 8)
 		}
 		f.run(3 * time.Second)
 		f.resetCounts()
 		f.run(8 * time.Second)
 		during := f.refusedFraction()
 		for _, n := range f.nodes {
-			n.partitioned = false
+			n.partitioned.Store(false)
 		}
 		f.resetCounts()
 		f.run(4 * time.Second)
@@ -395,14 +409,11 @@
 	runOnFleets(t, fleetSizes, func(t *testing.T, f *fleet) {
 		f.load["a0"] = surgeFactor
 		f.run(4 * time.Second)
-		all := slices.Clone(f.registry.All())
+		all := slices.Clone(f.registry().All())
 		all[0].Rate, all[0].Burst = all[0].Rate/4, all[0].Burst/4
-		var err error
-		if f.registry, err = NewRegistry(all); err != nil {
-			t.Fatal(err)
-		}
+		f.setAccounts(t, all)
 		for _, n := range f.nodes {
-			n.limiter.SetRegistry(f.registry)
+			n.limiter.SetRegistry(f.registry())
 		}
 		f.run(limitWindow)
 		clear(f.admitted)
