Start the figures of a target anew for every other run, also after none was listed

Cause: the node beside it reset the target's failure statistics only if another run was listed at that moment. Here the run before had been dropped, and the node had restarted: 296 answers of 421 to requests for an instance that was gone counted as failures of the next one, which began with a failure rate of 0.49 to 0.68. The rate that nodes had heard then kept them away; it fades too slowly for an instance to be tried again while the others have room.

Ruled out: a queue reported at the rate limit, and a reported slowdown, both 0 in the trial. Kept: an instance whose own entry was gone for a moment keeps its failures (TestInstanceListedAgainKeepsItsFailures).

--- a/sidecar/lifetime_test.go
+++ b/sidecar/lifetime_test.go
@@ -113,3 +113,53 @@
 		So(m.vms[0].dir.View().Routes.Version, ShouldEqual, 2)
 	})
 }
+
+// Guards against a new instance that gets no requests because of the failures of
+// the one before, whose entry was gone for a moment.
+func TestNewInstanceStartsWithoutFailuresOfFormerOne(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		former bool // the former instance was listed at this node
+	}{{"its entry was removed before the new one was written", true}, {"this node had started and knew of none", false}} {
+		Convey(c.name, t, func() {
+			m := newMesh(t, "archiv")
+			v := m.vms[0]
+			if !c.former {
+				v.node.self.Store(nil)
+				v.node.targetRun.Store(nil)
+			}
+			for range 50 {
+				v.node.health.Record(true)
+			}
+			leaving := v.self
+			leaving.Leaving, leaving.Revision = true, 10
+			v.dir.Apply([]directory.Change{{Instance: &leaving}, {Removed: leaving.ID, RemovedAt: 11}}, 11)
+			So(v.node.self.Load(), ShouldBeNil)
+			So(v.node.health.FailureRate(), ShouldBeGreaterThan, 0.5)
+			next := v.self
+			next.ID, next.Started, next.Revision = "i-next", 1, 12
+			v.dir.Apply([]directory.Change{{Instance: &next}}, 12)
+			So(v.node.health.FailureRate(), ShouldEqual, 0)
+		})
+	}
+}
+
+// Guards against an instance that fails being sent as much as others because its
+// entry was gone for a moment.
+func TestInstanceListedAgainKeepsItsFailures(t *testing.T) {
+	m := newMesh(t, "archiv")
+	v := m.vms[0]
+	Convey("The failure rate of the same run stays", t, func() {
+		for range 50 {
+			v.node.health.Record(true)
+		}
+		v.dir.Apply([]directory.Change{{Removed: v.self.ID, RemovedAt: 10}}, 10)
+		v.dir.DropUnlisted(v.self.Incarnation())
+		So(v.node.self.Load(), ShouldBeNil)
+		again := v.self
+		again.Revision = 11
+		v.dir.Apply([]directory.Change{{Instance: &again}}, 11)
+		So(v.node.self.Load(), ShouldNotBeNil)
+		So(v.node.health.FailureRate(), ShouldBeGreaterThan, 0.5)
+	})
+}
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -24,12 +24,7 @@
 	}
 	n.targetRate.begin(in.Incarnation())
 	old := n.self.Swap(&in)
-	if old != nil && old.Incarnation() != in.Incarnation() {
-		// Failure statistics and connections belong to the previous process.
-		n.health.Reset()
-		n.slowdown.Reset()
-		n.target.Close()
-	}
+	n.beginTargetRun(in.Incarnation())
 	if old == nil || old.Slots != in.Slots {
 		usable := int(float64(in.Slots) * usableSlotRatio)
 		n.gate.SetLimit(usable)
@@ -43,3 +38,16 @@
 		n.gate.Open()
 	}
 }
+
+// beginTargetRun discards what belongs to another run of the target: failure
+// statistics and connections. The run before may be listed no more, or unknown
+// to a node that has restarted; its failures would keep requests from the new
+// one, which could never show that it does not fail.
+func (n *Node) beginTargetRun(of directory.Incarnation) {
+	if before := n.targetRun.Swap(&of); before != nil && *before == of {
+		return
+	}
+	n.health.Reset()
+	n.slowdown.Reset()
+	n.target.Close()
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -128,6 +128,7 @@
 		lastVouch      atomic.Bool  // last result of vouching for the local instance
 		drainStart     atomic.Int64 // Unix time in nanoseconds; 0 before shutdown
 		self           atomic.Pointer[directory.Instance]
+		targetRun      atomic.Pointer[directory.Incarnation] // run of the local target that was last listed
 
 		mu           sync.Mutex
 		retryBudgets map[string]*budget.RetryWindow // by service
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -63,6 +63,12 @@
 	checkInvariants(t, buildBinary(t), 347, 10*time.Second)
 }
 
+// Guards against an instance that gets no requests because of the failures of the
+// one before it, whose entry was gone for a moment.
+func TestSeedWithUnusedInstance(t *testing.T) {
+	checkInvariants(t, buildBinary(t), 465, 10*time.Second)
+}
+
 // checkInvariants runs one seed with faults for a period and checks what callers
 // and targets observed.
 func checkInvariants(t *testing.T, bin string, seed uint64, period time.Duration) {
