--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -55,15 +55,15 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	a := n.forwardBody(ctx, q)
+	a := n.forwardAndRelease(ctx, q)
 	n.recordOutcome(q, a, errors.Is(ctx.Err(), context.Canceled))
 	n.writeAnswer(w, q, a)
 }
 
-// forwardBody forwards a request and gives back the memory of its body. The body
+// forwardAndRelease forwards a request and gives back the memory of its body. The body
 // does not count while the answer is written, which takes as long as the caller
 // reads: one that does not read would leave no memory for others.
-func (n *Node) forwardBody(ctx context.Context, q *request) call.Answer {
+func (n *Node) forwardAndRelease(ctx context.Context, q *request) call.Answer {
 	defer func() {
 		n.heldBodyBytes.Add(-int64(len(q.Body)))
 		q.Body = nil
