Wait for a stopped node's port before a test starts the next one there

TestRateLimitHeardFromPeerEndsWithFirstAnswer failed beside load, "nothing listens on 127.0.0.3:25202": two of 96 runs under -race, eight copies at once; its node ended with "listen 127.0.0.3:25192: bind: address already in use". Serve returns when the first of its listeners is closed, and the test started the next node while the port for peers was still open. A process that ends closes all of them.

--- a/sidecar/mesh_test.go
+++ b/sidecar/mesh_test.go
@@ -238,6 +238,18 @@
 	m.t.Fatalf("nothing listens on %s", addr)
 }
 
+func (m *mesh) awaitClosed(addr string) {
+	for range 200 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		c.Close()
+		time.Sleep(5 * time.Millisecond)
+	}
+	m.t.Fatalf("something still listens on %s", addr)
+}
+
 // updateAll sets the test routes, with the given version, and all instances
 // at every node.
 func (m *mesh) updateAll(version callgraph.Version) {
--- a/sidecar/rate_limit_restart_test.go
+++ b/sidecar/rate_limit_restart_test.go
@@ -15,6 +15,7 @@
 func (m *mesh) restartNode(v *vm) {
 	v.stopNode()
 	<-v.served
+	m.awaitClosed(v.node.cfg.PeerAddr) // Serve returns at the first of its listeners
 	m.startNode(v)
 	m.updateAll(2)
 }
