--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,6 +69,12 @@
 	checkInvariants(t, buildBinary(t), 465, 10*time.Second)
 }
 
+// Guards against requests to an instance that states that it leaves right after it
+// was restarted under its ID, before the restart is listed.
+func TestSeedWithLeavingOfUnlistedRun(t *testing.T) {
+	checkInvariants(t, buildBinary(t), 487, 10*time.Second)
+}
+
 // checkInvariants runs one seed with faults for a period and checks what callers
 // and targets observed.
 func checkInvariants(t *testing.T, bin string, seed uint64, period time.Duration) {
