Forget the requests in progress at a target when the next one is listed

Callers saw: an instance that had just been replaced was taken for slow. Its node refused requests ("target: too slow for the time left") and other nodes preferred other instances, while requests to the instance before hung or ended late.

Cause: SlowdownEstimator.Reset dropped the service times but kept the requests in progress. Those were sent to the run before; their age, or the time after which they end, counted as the next run's.

Ruled out: that the ages even out; requests without any sample of their route do not count, but the first answer of the next run gives one.

Before: TestRequestsOfFormerTargetDoNotCount finds a slowdown of 144.4 in place of 1 (twenty requests of 10 s, then one of 100 ms). After: 1, and an expected time of 100 ms.

What a request that was begun before the reset reports at its end is ignored; its calls still find it.

--- a/slots/slowdown.go
+++ b/slots/slowdown.go
@@ -84,8 +84,9 @@
 	e := r.estimator
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	_, ofPresentTarget := e.running[r]
 	delete(e.running, r)
-	if !completed {
+	if !completed || !ofPresentTarget {
 		return
 	}
 	now := time.Now()
@@ -139,11 +140,13 @@
 }
 
 // Reset discards all samples of service times, for a target that has been
-// replaced.
+// replaced. The requests in progress were sent to the one before, and count no
+// more.
 func (e *SlowdownEstimator) Reset() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.meanOwnTime, e.meanCallTime, e.lastSlowdown = map[string]time.Duration{}, map[string]time.Duration{}, 1
+	clear(e.running)
 }
 
 func updateMean(means map[string]time.Duration, kind string, d time.Duration) {
--- a/slots/slowdown_test.go
+++ b/slots/slowdown_test.go
@@ -117,6 +117,31 @@
 	})
 }
 
+// Guards against a target that seems slow because requests to the one before it
+// never end, or end late.
+func TestRequestsOfFormerTargetDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Only requests since the reset do", t, func() {
+			e := NewSlowdownEstimator()
+			var former []*TrackedRequest
+			for range 20 {
+				former = append(former, e.Begin("read"))
+			}
+			time.Sleep(10 * time.Second)
+			e.Reset()
+			r := e.Begin("read")
+			time.Sleep(100 * time.Millisecond)
+			r.End(true)
+			time.Sleep(slowdownTTL)
+			So(e.Slowdown(), ShouldEqual, 1)
+			for _, r := range former {
+				r.End(true)
+			}
+			So(e.ExpectedTime("read"), ShouldEqual, 100*time.Millisecond)
+		})
+	})
+}
+
 // BenchmarkSlowdownEstimator measures the overhead per request with sixty
 // others in flight.
 func BenchmarkSlowdownEstimator(b *testing.B) {
