Take an exit for one of the run that was listed when it was found

Callers saw: an instance that runs could get no requests for a time after its entry was removed, because its node did not vouch for it.

Cause: Checker.RecordExit marked whichever run is listed now as exited. A refused connection can be recorded late (the node is paused between the refusal and the call), when the next run is listed already; that one was then not vouched for until its entry changed.

The time before the connection was tried decides: a run that started later is not the one that exited. Both times are of the same VM.

Ruled out: Observe already clears the mark when a run is listed, but it comes before the late exit here.

Before: TestExitOfFormerRunIsNotOfTheListedOne fails, the instance is not vouched for after the exit of the run before. After: it passes; an exit found at the listed start or later still counts.

--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/directory"
 	"github.com/oatpin/oatpin/slots"
 	"github.com/oatpin/oatpin/targetconn"
 )
@@ -225,7 +226,7 @@
 	switch {
 	case errors.Is(err, targetconn.ErrNotSent):
 		if errors.Is(err, targetconn.ErrConnRefused) {
-			n.vouchChecker.RecordExit()
+			n.vouchChecker.RecordExit(directory.UnixMilli(began.UnixMilli()))
 		}
 		return call.Refuse(r, err.Error(), 0)
 	case err != nil:
--- a/sidecar/vouch.go
+++ b/sidecar/vouch.go
@@ -182,10 +182,11 @@
 	if path == "" {
 		return vouch.StatusUnknown
 	}
+	began := directory.UnixMilli(time.Now().UnixMilli())
 	resp, err := n.target.Do(ctx, &targetconn.Request{Method: http.MethodGet, Host: n.cfg.TargetAddr, URI: path})
 	switch {
 	case errors.Is(err, targetconn.ErrConnRefused):
-		n.vouchChecker.RecordExit()
+		n.vouchChecker.RecordExit(began)
 		return vouch.NotServing
 	case err != nil && ctx.Err() == nil:
 		return vouch.NotServing
--- a/vouch/checker.go
+++ b/vouch/checker.go
@@ -92,12 +92,16 @@
 	c.instance = &in
 }
 
-// RecordExit records that nothing listens at the target's address any more. A
+// RecordExit records that nothing listened at the target's address at a time. A
 // later instance at that address is a new run, even under the same ID, and is
-// vouched for only once it is listed.
-func (c *Checker) RecordExit() {
+// vouched for only once it is listed. It is not the one that exited, even if it
+// is listed before the exit is recorded.
+func (c *Checker) RecordExit(at directory.UnixMilli) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.instance != nil && c.instance.Started > at {
+		return
+	}
 	c.exited, c.verdict = true, false
 }
 
--- a/vouch/checker_test.go
+++ b/vouch/checker_test.go
@@ -143,3 +143,18 @@
 		}
 	})
 }
+
+// Guards against an instance that is not vouched for because the exit of the run
+// before it is recorded only after it was listed.
+func TestExitOfFormerRunIsNotOfTheListedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An exit from before the listed start does not count, a later one does", t, func() {
+			e := newFakeEnv()
+			checker := e.newChecker()
+			checker.RecordExit(e.instance.Started - 1)
+			So(checker.Vouch(context.Background(), e.incarnation()), ShouldBeTrue)
+			checker.RecordExit(e.instance.Started)
+			So(checker.Vouch(context.Background(), e.incarnation()), ShouldBeFalse)
+		})
+	})
+}
