Wait for the answer before a test asks whether the body is given back

TestCallerThatDoesNotReadHoldsNoBody failed once under the race detector beside other work: 503 in place of 200.

Cause: it slept 0.5 s for an answer of 32 MB to come from the target. The body of the request may be sent again until the answer is whole, so its memory is rightly held that long; with one processor and the race detector the answer takes longer.

The check stays as it is. The wait ends after half the stall timeout, so a body that is held while the answer is written, which takes the whole of it, still fails the check.

--- a/sidecar/stalled_caller_test.go
+++ b/sidecar/stalled_caller_test.go
@@ -45,6 +45,14 @@
 	return c
 }
 
+// awaitAnswer waits, within a bound, for the node of v to have the whole answer of
+// its target. Until then it rightly holds the body of the request.
+func awaitAnswer(v *vm) {
+	for until := time.Now().Add(answerStallTimeout / 2); v.node.heldBodyBytes.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // Guards against callers that are refused for want of memory because others do
 // not read their answers.
 func TestCallerThatDoesNotReadHoldsNoBody(t *testing.T) {
@@ -57,6 +65,7 @@
 		stallCaller(m, v)
 		So(v.target.runCount("stalled"), ShouldEqual, 1)
 		So(v.node.activeRequests.Load(), ShouldEqual, 1)
+		awaitAnswer(v)
 		_, got := m.send(t.Context(), v, http.MethodPost, "/read/y", strings.Repeat("y", stalledBody), nil)
 		So(got.code, ShouldEqual, http.StatusOK)
 	})
