Bound every write to a caller that reads nothing

Callers saw: a node that is told to stop waits for a request that never ends and then cuts others; its memory is held. A trial showed it: a caller that pipelines requests with answers of 12 KB and reads none had 320 run, and one stayed active for the 12 s that were watched.

Cause: only the write of an answer over 16 KiB had a time limit. A small one blocks too, once the answers before it fill the socket buffers, and so do the answers that net/http writes itself.

The limit is now the connection's, in one place: a write that makes no progress for 5 s fails and the connection is closed. Ruled out: a deadline set by the handler (misses what net/http writes, and outlasts the answer), Server.WriteTimeout (cuts callers that read slowly).

Before: TestCallerThatPipelinesAndDoesNotReadIsDisconnected ends after 20 s with the request still active, for answers of the target and of the node. After: the connection is closed after 5 to 6 s and no request is active. The tests of large answers and of slow callers pass unchanged.

--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -218,7 +218,7 @@
 	for _, s := range []struct {
 		addr  string
 		serve func(net.Listener) error
-	}{{n.cfg.PeerAddr, n.peerServer.Serve}, {n.cfg.CallerAddr, n.callerServer.Serve}, {n.cfg.ReadyAddr, n.readyServer.Serve}, {n.cfg.MetricsAddr, n.metricsServer.Serve}} {
+	}{{n.cfg.PeerAddr, n.peerServer.Serve}, {n.cfg.CallerAddr, n.serveCallers}, {n.cfg.ReadyAddr, n.readyServer.Serve}, {n.cfg.MetricsAddr, n.metricsServer.Serve}} {
 		if err := listen(s.addr, s.serve); err != nil {
 			return err
 		}
@@ -235,6 +235,8 @@
 	}
 }
 
+func (n *Node) serveCallers(l net.Listener) error { return n.callerServer.Serve(callerListener{l}) }
+
 // syncerConfig returns the configuration of the node's Syncer. self is the
 // address at which other nodes reach this one, derived from its instance. The
 // listen address may differ from it (such as 0.0.0.0); a node that used it as
--- a/sidecar/response.go
+++ b/sidecar/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -10,15 +9,6 @@
 	"github.com/oatpin/oatpin/call"
 )
 
-const (
-	// answerChunk is the size in bytes of one write of an answer's body. Socket
-	// buffers hold one that is not larger, so its write does not block.
-	answerChunk = 16 << 10
-	// answerStallTimeout is how long a caller may read nothing of its answer
-	// before its connection is closed.
-	answerStallTimeout = 5 * time.Second
-)
-
 // writeAnswer writes the target's response unchanged, or an error response
 // that states whether the request may have been executed.
 func (n *Node) writeAnswer(w http.ResponseWriter, q *request, a call.Answer) {
@@ -34,7 +24,7 @@
 			h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 		}
 		w.WriteHeader(a.HTTP.Code)
-		if err := writeBody(w, a.Body); err != nil {
+		if _, err := w.Write(a.Body); err != nil {
 			n.decisions.Log("answer_not_taken", func() log.Fields { return log.Fields{"id": q.ID, "error": err.Error()} })
 		}
 		return
@@ -65,26 +55,3 @@
 	}
 	http.Error(w, reason, code)
 }
-
-// writeBody writes the body of an answer. A caller that stops reading is
-// disconnected after answerStallTimeout, because a frozen one would otherwise
-// hold the answer in memory without end. One that reads slowly is not.
-func writeBody(w http.ResponseWriter, body []byte) error {
-	if len(body) <= answerChunk {
-		_, err := w.Write(body)
-		return err
-	}
-	ctrl := http.NewResponseController(w)
-	for chunk := range slices.Chunk(body, answerChunk) {
-		if err := ctrl.SetWriteDeadline(time.Now().Add(answerStallTimeout)); err != nil {
-			return err
-		}
-		if _, err := w.Write(chunk); err != nil {
-			return err
-		}
-	}
-	if err := ctrl.Flush(); err != nil {
-		return err
-	}
-	return ctrl.SetWriteDeadline(time.Time{})
-}
--- a/sidecar/stalled_caller_test.go
+++ b/sidecar/stalled_caller_test.go
@@ -111,3 +111,40 @@
 		So(resp.StatusCode, ShouldEqual, http.StatusOK)
 	})
 }
+
+// Guards against a request that is held without end, and a node that does not
+// stop, because a caller sends many requests at once and reads no answer.
+func TestCallerThatPipelinesAndDoesNotReadIsDisconnected(t *testing.T) {
+	const answerSize = 12 << 10
+	for _, c := range []struct{ name, path string }{{"answers of the target", "/read/x"}, {"the node's own answers", "/nowhere/" + strings.Repeat("x", 2000)}} {
+		Convey("The last request ends soon after the stall timeout, for "+c.name, t, func() {
+			m := newMesh(t, "archiv")
+			v := m.vms[0]
+			v.target.handleWith(func(w http.ResponseWriter, r *http.Request) {
+				writeSigned(w, r, http.StatusOK, strings.Repeat(".", answerSize))
+			})
+			conn, err := net.Dial("tcp", v.node.cfg.CallerAddr)
+			So(err, ShouldBeNil)
+			defer conn.Close()
+			began, cut := time.Now(), make(chan error, 1)
+			go func() { cut <- pipeline(conn, c.path) }()
+			select {
+			case err = <-cut:
+			case <-time.After(4 * answerStallTimeout):
+			}
+			So(err, ShouldNotBeNil)
+			So(time.Since(began), ShouldBeGreaterThan, answerStallTimeout)
+			time.Sleep(100 * time.Millisecond) // for the handler to return
+			So(v.node.activeRequests.Load(), ShouldEqual, 0)
+		})
+	}
+}
+
+// pipeline sends requests until the connection breaks and reads no answer.
+func pipeline(conn net.Conn, path string) error {
+	for i := 0; ; i++ {
+		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r%d\r\n\r\n", path, i); err != nil {
+			return err
+		}
+	}
+}
