Take a statement of leaving for one of the run that answered

The instance had restarted at its address under its ID and stated it before the nodes listed the restart; they took it for a word of the run before, and sent requests again once the new run was listed as in service.

Cause: what an answer states was filed under the run that was listed when the request was sent. An instance that restarts is another run before it is listed as one.

Which run answered is now said in one place, directory.Sighting: the run that was up when the connection of the answer was opened, by the clock of the VM. The node beside the instance knows that time (targetconn), and it travels with the statement (call.InstanceState.UpAt), so that every node can compare it with the starts that are listed, at any later moment and after a restart of the instance's node. A connection that was opened to the run before is not used once the next is listed, so the last words of a run that lingers aren't taken for its successor's.

Clocks: a connection that is opened while a run is listed counts as opened after its start, whatever the clock says.

Ruled out: numbering the runs by breaks of connections at the instance's node (nothing is left of it when that node restarts, and an instance that leaves closes its connections as one that exits does); the time when the request is sent in place of the connection's (a lingering run answers later ones too).

leaving_test.go calls MarkLeaving with a Sighting now; its checks are the same. A former version's answer lacks the time and counts for the run that the sender lists, as before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -224,7 +224,7 @@
 	delete(d.unlisted, in.ID)
 	d.instances[in.ID] = in
 	if !known || old.Leaving != in.Leaving || old.Started != in.Started {
-		d.log.WithFields(log.Fields{"instance": in.ID, "started": in.Started, "service": in.Service, "leaving": in.Leaving, "revision": in.Revision}).Info("instance_listed")
+		d.log.WithFields(log.Fields{"instance": in.ID, "started": in.Started, "service": in.Service, "leaving": in.Leaving, "stated_leaving": d.statedLeavings.includes(in.Incarnation()), "revision": in.Revision}).Info("instance_listed")
 	}
 }
 
--- a/directory/instances.go
+++ b/directory/instances.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
 )
 
@@ -13,7 +14,7 @@
 
 	// UnixMilli is a time in milliseconds since the Unix epoch; 0 if the
 	// instance does not report it.
-	UnixMilli int64
+	UnixMilli = call.UnixMilli
 
 	// Incarnation identifies one run of an instance. Health and load data belong
 	// to a run and are not carried over to the next.
--- a/directory/leaving_test.go
+++ b/directory/leaving_test.go
@@ -26,8 +26,8 @@
 		views := 0
 		d.OnChange(func(*View) { views++ })
 		So(leaving(), ShouldBeFalse)
-		d.MarkLeaving(in.Incarnation())
-		d.MarkLeaving(in.Incarnation())
+		d.MarkLeaving(Sighting(in.Incarnation()))
+		d.MarkLeaving(Sighting(in.Incarnation()))
 		So(views, ShouldEqual, 1)
 		So(leaving(), ShouldBeTrue)
 		So(d.HasStatedLeaving(in.Incarnation()), ShouldBeTrue)
@@ -50,10 +50,11 @@
 	Convey("The oldest are forgotten first", t, func() {
 		l := statedLeavings{}
 		for i := range maxStatedLeavings + 1 {
-			l.add(Incarnation{ID: InstanceID(fmt.Sprint(i))})
+			of := Incarnation{ID: InstanceID(fmt.Sprint(i))}
+			l.add(Sighting(of), of)
 		}
 		So(l, ShouldHaveLength, maxStatedLeavings)
-		So(l, ShouldNotContainKey, Incarnation{ID: "0"})
-		So(l, ShouldContainKey, Incarnation{ID: InstanceID(fmt.Sprint(maxStatedLeavings))})
+		So(l, ShouldNotContainKey, InstanceID("0"))
+		So(l, ShouldContainKey, InstanceID(fmt.Sprint(maxStatedLeavings)))
 	})
 }
--- a/directory/unlisted.go
+++ b/directory/unlisted.go
@@ -47,13 +47,14 @@
 }
 
 // ExpireUnlisted drops the unlisted instances whose grace period or
-// confirmation has expired, and ends doubts about listed ones. It is safe for
-// concurrent use.
+// confirmation has expired, and ends doubts about listed ones and what is inferred
+// from statements of runs that were not listed. It is safe for concurrent use.
 func (d *Directory) ExpireUnlisted() {
 	d.mu.Lock()
 	defer d.unlock()
 	now := time.Now()
 	changed := d.expireDoubts(now)
+	changed = d.expireStatedLeavings() || changed
 	for id, u := range d.unlisted {
 		if !now.Before(u.until) {
 			d.drop(id, "not listed or confirmed in time")
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -118,7 +118,7 @@
 		att.tried = append(att.tried, in.ID)
 	}
 	if a.State.Leaving {
-		n.dir.MarkLeaving(in.Incarnation())
+		n.dir.MarkLeaving(sightingOf(in.Incarnation(), a.State))
 	}
 	switch {
 	case !reachable:
@@ -158,6 +158,15 @@
 	return a
 }
 
+// sightingOf returns which run of an instance stated its state, in an answer to a
+// request that was sent to a listed run. Former versions do not say.
+func sightingOf(sentTo directory.Incarnation, s call.InstanceState) directory.Sighting {
+	if s.UpAt == 0 {
+		return directory.Sighting(sentTo)
+	}
+	return directory.Sighting{ID: sentTo.ID, At: s.UpAt}
+}
+
 // countsAgainstInstance reports whether an attempt without a response counts
 // as a failure of its instance. It does not if the caller disconnected or if
 // the deadline was shorter than requests of the route usually take. Lost
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -1,6 +1,10 @@
 package sidecar
 
-import "github.com/oatpin/oatpin/directory"
+import (
+	"time"
+
+	"github.com/oatpin/oatpin/directory"
+)
 
 // usableSlotRatio is the fraction of a target's slots that are used; some
 // targets become a third slower when more than 19 of 20 are busy.
@@ -44,10 +48,14 @@
 // to a node that has restarted; its failures would keep requests from the new
 // one, which could never show that it does not fail.
 func (n *Node) beginTargetRun(of directory.Incarnation) {
-	if before := n.targetRun.Swap(&of); before != nil && *before == of {
+	before := n.targetRun.Swap(&of)
+	if before != nil && *before == of {
 		return
 	}
 	n.health.Reset()
 	n.slowdown.Reset()
-	n.target.Close()
+	n.target.Begin(time.UnixMilli(int64(of.At)))
+	if of.At == 0 || (before != nil && before.ID != of.ID) {
+		n.target.Close()
+	}
 }
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -208,7 +208,9 @@
 
 // callTarget sends a request to the local target.
 func (n *Node) callTarget(ctx context.Context, r call.Request, deadline time.Time) call.Answer {
-	remaining := time.Until(deadline).Milliseconds()
+	began := time.Now()
+	by := directory.Sighting{ID: directory.InstanceID(r.To), At: directory.UnixMilli(began.UnixMilli())}
+	remaining := deadline.Sub(began).Milliseconds()
 	if remaining <= 0 {
 		return call.Refuse(r, "deadline passed", 0)
 	}
@@ -220,21 +222,21 @@
 	h.Set(headers.Deadline, strconv.FormatInt(remaining, 10))
 	h.Set(headers.ExpectedInstance, r.To)
 	h.Set(headers.CallerService, r.HTTP.Caller)
-	began, run := time.Now(), n.incarnationOf(r.To)
 	n.stats.countSent()
-	resp, err := n.target.Do(ctx, &targetconn.Request{ID: r.ID, Method: r.HTTP.Method, Host: r.HTTP.Host, URI: r.HTTP.URI, Header: h, Body: r.Body})
+	opened := func(at time.Time) { by.At = directory.UnixMilli(at.UnixMilli()) }
+	resp, err := n.target.Do(ctx, &targetconn.Request{ID: r.ID, Method: r.HTTP.Method, Host: r.HTTP.Host, URI: r.HTTP.URI, Header: h, Body: r.Body, GotConn: opened})
 	switch {
 	case errors.Is(err, targetconn.ErrNotSent):
 		if errors.Is(err, targetconn.ErrConnRefused) {
-			n.vouchChecker.RecordExit(directory.UnixMilli(began.UnixMilli()))
+			n.vouchChecker.RecordExit(by.At)
 		}
 		return call.Refuse(r, err.Error(), 0)
 	case err != nil:
 		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), ReachedTarget: true, InstanceExit: n.targetExitDuring(ctx, &r, began)}
 	}
 	a := n.classifyAnswer(r, resp)
-	if a.Status != call.Unknown && !a.Leaving {
-		a.State.Leaving = n.recordStatement(r, run, resp.Header, began).leaving
+	if a.Status != call.Unknown && !a.Leaving && n.recordStatement(r, by, resp.Header, began).leaving {
+		a.State.Leaving, a.State.UpAt = true, by.At
 	}
 	return a
 }
--- a/sidecar/statement.go
+++ b/sidecar/statement.go
@@ -149,9 +149,9 @@
 	return t.limit
 }
 
-// recordStatement records what an answer of a run of the local target to a
-// request sent at a given time states about the target, and returns it.
-func (n *Node) recordStatement(r call.Request, of directory.Incarnation, h http.Header, sent time.Time) statement {
+// recordStatement records what an answer of the local target to a request sent at
+// a given time states about the target, and returns it.
+func (n *Node) recordStatement(r call.Request, by directory.Sighting, h http.Header, sent time.Time) statement {
 	st, err := parseStatement(h, n.cfg.Headers)
 	if err != nil {
 		n.stats.countInvalidStatement()
@@ -159,10 +159,10 @@
 			return log.Fields{"id": r.ID, "instance": r.To, "error": err.Error()}
 		})
 	}
-	before, after := n.targetRate.record(of, st, sent)
+	before, after := n.targetRate.record(n.incarnationOf(r.To), st, sent)
 	n.logRateLimit(r, before, after)
 	if st.leaving {
-		n.dir.MarkLeaving(of)
+		n.dir.MarkLeaving(by)
 	}
 	return st
 }
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -78,6 +79,10 @@
 		URI    string
 		Header http.Header
 		Body   []byte
+		// GotConn is called before the request is written to a connection, with
+		// when that was opened; nil for none. The target's process that gives the
+		// answer had started by then.
+		GotConn func(opened time.Time)
 	}
 
 	// Answer is the target's complete response.
@@ -93,13 +98,15 @@
 		cfg Config
 
 		mu        sync.Mutex
-		idleConns []*conn // least recently used first
+		idleConns []*conn   // least recently used first
+		started   time.Time // when the target's process was started, as far as known
 	}
 
 	conn struct {
 		nc      net.Conn
 		r       *bufio.Reader
 		w       *bufio.Writer
+		opened  time.Time
 		expires time.Time // time after which it must not be used
 	}
 )
@@ -126,6 +133,9 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
+	if r.GotConn != nil {
+		r.GotConn(c.opened)
+	}
 	stop := context.AfterFunc(ctx, func() { c.nc.SetDeadline(time.Unix(1, 0)) })
 	a, reuse, err := p.roundTrip(c, r)
 	if !stop() || err != nil || !reuse {
@@ -151,7 +161,7 @@
 		if err != nil {
 			return errors.Is(err, syscall.ECONNREFUSED)
 		}
-		c := newConn(nc)
+		c := p.newConn(nc)
 		time.Sleep(resetGrace)
 		if c.idle() {
 			c.expires = time.Now().Add(defaultIdleTimeout)
@@ -166,10 +176,31 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idleConns {
+	p.closeIdle(func(*conn) bool { return true })
+}
+
+// Begin records when the target's process was started, by the clock of this VM,
+// and closes the connections to the one before once they are idle. A connection
+// that is opened from now on counts as opened after that start even if the clock
+// was set back since.
+func (p *Pool) Begin(started time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.started = started
+	p.closeIdle(p.isFormer)
+}
+
+// isFormer reports whether a connection is one to the process before.
+func (p *Pool) isFormer(c *conn) bool { return c.opened.Before(p.started) }
+
+func (p *Pool) closeIdle(which func(*conn) bool) {
+	p.idleConns = slices.DeleteFunc(p.idleConns, func(c *conn) bool {
+		if !which(c) {
+			return false
+		}
 		c.nc.Close()
-	}
-	p.idleConns = nil
+		return true
+	})
 }
 
 func (p *Pool) get(ctx context.Context) (*conn, error) {
@@ -183,11 +214,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc), nil
+	return p.newConn(nc), nil
 }
 
-func newConn(nc net.Conn) *conn {
-	return &conn{nc: nc, r: bufio.NewReader(nc), w: bufio.NewWriter(nc)}
+func (p *Pool) newConn(nc net.Conn) *conn {
+	c := &conn{nc: nc, r: bufio.NewReader(nc), w: bufio.NewWriter(nc), opened: time.Now()}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isFormer(c) {
+		c.opened = p.started
+	}
+	return c
 }
 
 func (p *Pool) pop() *conn {
@@ -211,6 +248,10 @@
 		p.idleConns[0].nc.Close()
 		p.idleConns = p.idleConns[1:]
 	}
+	if p.isFormer(c) {
+		c.nc.Close()
+		return
+	}
 	p.idleConns = append(p.idleConns, c)
 }
 
--- a/targetconn/pool_test.go
+++ b/targetconn/pool_test.go
@@ -326,6 +326,40 @@
 	})
 }
 
+// Guards against requests and statements that are taken for ones of the run of a
+// target before the present one, or go there, because a connection is kept.
+func TestConnectionsAreOfOneRun(t *testing.T) {
+	Convey("Where another run begins", t, func() {
+		p, conns := startTarget(t, echo)
+		var opened time.Time
+		send := func() {
+			r := request("a")
+			r.GotConn = func(at time.Time) { opened = at }
+			_, err := p.Do(context.Background(), r)
+			So(err, ShouldBeNil)
+		}
+		began := time.Now()
+		send()
+		So(opened, ShouldHappenOnOrBetween, began, time.Now())
+		first := opened
+		Convey("a connection that was opened since is kept", func() {
+			p.Begin(first)
+			send()
+			So(opened, ShouldEqual, first)
+			So(conns.Load(), ShouldEqual, 1)
+		})
+		Convey("an earlier one is not used again, and the next counts as opened since", func() {
+			started := time.Now().Add(time.Minute) // the clock is set back after the start
+			p.Begin(started)
+			send()
+			So(opened, ShouldEqual, started)
+			So(conns.Load(), ShouldEqual, 2)
+			send()
+			So(conns.Load(), ShouldEqual, 2)
+		})
+	})
+}
+
 // BenchmarkDo measures one request on a reused connection.
 func BenchmarkDo(b *testing.B) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -34,11 +34,12 @@
 	// extension is an optional last field of a Frame: the parts of its request
 	// or answer that are rarely set. Versions that do not know it skip it.
 	extension struct {
-		_msgpack  struct{}      `msgpack:",as_array"`
-		RateLimit float64       // call.Request.KnownRateLimit, or that of call.Answer.State
-		Leaving   bool          // of call.Answer.State
-		AwaitRate bool          // call.Request.AwaitRate
-		RateWait  time.Duration // call.Answer.RateWait
+		_msgpack  struct{}       `msgpack:",as_array"`
+		RateLimit float64        // call.Request.KnownRateLimit, or that of call.Answer.State
+		Leaving   bool           // of call.Answer.State
+		AwaitRate bool           // call.Request.AwaitRate
+		RateWait  time.Duration  // call.Answer.RateWait
+		UpAt      call.UnixMilli // of call.Answer.State
 	}
 )
 
@@ -66,7 +67,7 @@
 // is encoded as by versions that have none.
 func (f *Frame) EncodeMsgpack(e *msgpack.Encoder) error {
 	x, n := f.extension(), frameFields
-	if x != (extension{}) {
+	if x.states() {
 		n++
 	}
 	err := errors.Join(e.EncodeArrayLen(n), e.EncodeUint8(uint8(f.Kind)), e.EncodeUint64(uint64(f.Stream)), e.Encode(f.Request), e.Encode(f.Answer),
@@ -77,6 +78,13 @@
 	return x.encode(e)
 }
 
+// states reports whether an extension has anything to say. When a run was up is
+// of no use without its statement.
+func (x extension) states() bool {
+	x.UpAt = 0
+	return x != (extension{})
+}
+
 func (x extension) encode(e *msgpack.Encoder) error { return e.Encode(&x) }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
@@ -96,7 +104,7 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (x *extension) DecodeMsgpack(d *msgpack.Decoder) error {
 	*x = extension{}
-	return message.DecodeArray(d, &x.RateLimit, &x.Leaving, &x.AwaitRate, &x.RateWait)
+	return message.DecodeArray(d, &x.RateLimit, &x.Leaving, &x.AwaitRate, &x.RateWait, &x.UpAt)
 }
 
 // extension returns the parts of the request or answer that are encoded in the
@@ -106,7 +114,7 @@
 	case f.Request != nil:
 		return extension{RateLimit: f.Request.KnownRateLimit, AwaitRate: f.Request.AwaitRate}
 	case f.Answer != nil:
-		return extension{RateLimit: f.Answer.State.RateLimit, Leaving: f.Answer.State.Leaving, RateWait: f.Answer.RateWait}
+		return extension{RateLimit: f.Answer.State.RateLimit, Leaving: f.Answer.State.Leaving, RateWait: f.Answer.RateWait, UpAt: f.Answer.State.UpAt}
 	}
 	return extension{}
 }
@@ -117,7 +125,7 @@
 	case f.Request != nil:
 		f.Request.KnownRateLimit, f.Request.AwaitRate = x.RateLimit, x.AwaitRate
 	case f.Answer != nil:
-		f.Answer.State = call.InstanceState{RateLimit: x.RateLimit, Leaving: x.Leaving}
+		f.Answer.State = call.InstanceState{RateLimit: x.RateLimit, Leaving: x.Leaving, UpAt: x.UpAt}
 		f.Answer.RateWait = x.RateWait
 	}
 }
--- a/wire/versions_test.go
+++ b/wire/versions_test.go
@@ -49,7 +49,7 @@
 func TestExtensionIsLastFieldOfFrame(t *testing.T) {
 	for name, f := range map[string]Frame{
 		"request": {Kind: KindRequest, Request: &call.Request{ID: "r1", KnownRateLimit: 0.5, AwaitRate: true}},
-		"answer":  {Kind: KindAnswer, Answer: &call.Answer{ID: "r1", State: call.InstanceState{RateLimit: 17, Leaving: true}, RateWait: time.Second}},
+		"answer":  {Kind: KindAnswer, Answer: &call.Answer{ID: "r1", State: call.InstanceState{RateLimit: 17, Leaving: true, UpAt: 1788000000123}, RateWait: time.Second}},
 	} {
 		Convey("What the "+name+" states is decoded, and is one more element", t, func() {
 			b, err := msgpack.Marshal(&f)
