Keep a rate limit for the run that stated it, listed or not

Callers saw: an instance that restarts and states a rate limit before the nodes list the restart got what it takes (0.5/s) until it was listed, and requests without a bound after.

Cause: the limit was kept by the run that was listed when the request was sent, and discarded when another was. The senders keyed it in the same way, so a restarted node of the instance was not told of it either; and it adopted from senders the limit of the run before, for the one that it lists.

The limit is kept with the sighting of the run that stated it, at the node of the instance (targetRate) and at the senders (balance), and is passed on with it (call.Request.KnownUpAt). When a run is listed, what it stated before stays; what an earlier one stated is dropped, and is not taken from a sender.

statement_test.go names the run by a sighting, and lists it (begin) where it was only named: a run is present once it is listed. Its checks are the same, one is added. load() is split, so that a test can send from some nodes only.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -125,19 +125,22 @@
 		// is left.
 		LastResort bool
 		RateLimit  float64 // that the instance last stated, in requests per second; 0 for none
+		// RateLimitUpAt is Outcome.UpAt of the answer with RateLimit.
+		RateLimitUpAt call.UnixMilli
 	}
 
 	// Outcome is the result of one request to an instance.
 	Outcome struct {
 		Route       string
-		Latency     time.Duration // time from sending to the response; 0 to leave the latency unchanged
-		Failed      bool          // the request ran and failed, or no response was received
-		Refused     bool          // the instance itself refused to run the request
-		NotRun      bool          // the request was not run, for whatever reason
-		Unreachable bool          // the instance's node could not be reached
-		Leaving     bool          // the instance or its node accepts no new requests
-		Load        *call.Load    // reported with the response; may be nil
-		RateLimit   float64       // stated by the instance, in requests per second; known if Load is set
+		Latency     time.Duration  // time from sending to the response; 0 to leave the latency unchanged
+		Failed      bool           // the request ran and failed, or no response was received
+		Refused     bool           // the instance itself refused to run the request
+		NotRun      bool           // the request was not run, for whatever reason
+		Unreachable bool           // the instance's node could not be reached
+		Leaving     bool           // the instance or its node accepts no new requests
+		Load        *call.Load     // reported with the response; may be nil
+		RateLimit   float64        // stated by the instance, in requests per second; known if Load is set
+		UpAt        call.UnixMilli // when the run was up that stated RateLimit; 0 if not known
 		// RateWait is set if the request was not run because of the instance's
 		// rate limit: the time until the next one is expected to be admitted.
 		RateWait time.Duration
@@ -154,9 +157,10 @@
 		reportedSlowdown    float64 // relative latency above normal reported by the instance's node
 		reportedAt          time.Time
 		avoidUntil          time.Time
-		rateLimit           float64   // that the instance last stated; 0 for none
-		rateRefusals        int       // in a row, because of the rate limit
-		rateFreeAt          time.Time // when the rate limit was expected to admit the next request
+		rateLimit           float64        // that the instance last stated; 0 for none
+		rateLimitUpAt       call.UnixMilli // when the run was up that stated rateLimit
+		rateRefusals        int            // in a row, because of the rate limit
+		rateFreeAt          time.Time      // when the rate limit was expected to admit the next request
 	}
 )
 
@@ -188,7 +192,7 @@
 	}
 	s := b.state(best.Incarnation())
 	s.outstanding++
-	return Choice{Instance: *best, LastResort: sel.best == nil, RateLimit: s.rateLimit}, true
+	return Choice{Instance: *best, LastResort: sel.best == nil, RateLimit: s.rateLimit, RateLimitUpAt: s.rateLimitUpAt}, true
 }
 
 // deadlineRisk returns the additional cost of an instance for a
@@ -225,7 +229,7 @@
 		s.avoidUntil, s.rateRefusals = time.Time{}, 0
 	}
 	if o.Load != nil {
-		s.rateLimit = o.RateLimit
+		s.rateLimit, s.rateLimitUpAt = o.RateLimit, o.UpAt
 		s.load, s.outstandingAtLoad = *o.Load, s.outstanding
 		s.reportedFailureRate, s.reportedSlowdown, s.reportedAt = o.Load.FailureRate, o.Load.Slowdown-1, now
 	}
@@ -258,12 +262,20 @@
 }
 
 // Prune discards the data on runs of instances that v does not list and that
-// have no outstanding requests, unless they recently stated a rate limit.
+// have no outstanding requests, unless they recently stated a rate limit. A rate
+// limit that a run stated before v listed it is kept as that run's.
 func (b *Balancer) Prune(v *directory.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for at, s := range b.states {
-		if in, ok := v.Find(at.ID); (!ok || in.Started != at.At) && s.outstanding == 0 && !s.isRateLimited() {
+		in, ok := v.Find(at.ID)
+		if ok && in.Started == at.At {
+			continue
+		}
+		if ok && s.isRateLimited() {
+			b.adoptRateLimit(in.Incarnation(), s)
+		}
+		if s.outstanding == 0 && !s.isRateLimited() {
 			delete(b.states, at)
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/directory"
@@ -302,3 +304,43 @@
 		})
 	})
 }
+
+// Guards against a rate limit that is forgotten, and with it what the instance's
+// node is told when it restarts, because it was stated before the run was listed.
+func TestRateLimitOfUnlistedRunIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := call.UnixMilli(time.Now().UnixMilli())
+		for _, c := range []struct {
+			name string
+			upAt call.UnixMilli
+			want float64
+		}{
+			{"the present run stated it", started + 1, 0.5},
+			{"the run before stated it", started - 1, 0},
+			{"a former version of the node does not say", 0, 0},
+		} {
+			Convey("Where "+c.name, t, func() {
+				b := New(Config{DC: "nord", Weights: DefaultWeights()})
+				former := directory.Instance{ID: "i", DC: "nord", Slots: 60, Service: "s", Addr: "a:1", Started: started - 1000}
+				r, err := directory.NewRoutes(1, directory.Limits{}, []directory.Route{{Name: "r", Host: "h", Prefix: "/", MaxInstances: 1, Shares: []directory.Share{{Service: "s", Weight: 1}}}})
+				So(err, ShouldBeNil)
+				d := directory.New(directory.Config{Log: &log.Logger{Handler: discard.New()}})
+				_, ok := b.Pick(PickRequest{Instances: []directory.Instance{former}})
+				So(ok, ShouldBeTrue)
+				b.Done(former.Incarnation(), Outcome{Load: loadOf(1), RateLimit: 0.5, UpAt: c.upAt})
+				present := former
+				present.Started, present.Revision = started, 2
+				d.Replace(directory.Snapshot{Revision: 2, Routes: r, Instances: []directory.Instance{present}})
+				for range 2 {
+					b.Prune(d.View())
+				}
+				got, ok := b.Pick(PickRequest{Instances: []directory.Instance{present}})
+				So(ok, ShouldBeTrue)
+				So(got.RateLimit, ShouldEqual, c.want)
+				if c.want != 0 {
+					So(got.RateLimitUpAt, ShouldEqual, c.upAt)
+				}
+			})
+		}
+	})
+}
--- a/balance/rate_limit.go
+++ b/balance/rate_limit.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/oatpin/oatpin/directory"
 )
 
 const (
@@ -32,6 +34,21 @@
 	return s.rateLimit > 0 && time.Since(s.reportedAt) < rateLimitMemory
 }
 
+// adoptRateLimit applies to a run that is listed now what it stated when another
+// was listed, whose state is given.
+func (b *Balancer) adoptRateLimit(of directory.Incarnation, former *instanceState) {
+	stated := directory.Sighting{ID: of.ID, At: former.rateLimitUpAt}
+	if !stated.IsOfUnlisted(of) {
+		return
+	}
+	s := b.state(of)
+	if !s.reportedAt.Before(former.reportedAt) {
+		return
+	}
+	s.rateLimit, s.rateLimitUpAt, s.reportedAt = former.rateLimit, former.rateLimitUpAt, former.reportedAt
+	s.avoidUntil, s.rateRefusals, s.rateFreeAt = former.avoidUntil, former.rateRefusals, former.rateFreeAt
+}
+
 // reportedRequests returns the number of requests that the instance's node last
 // reported. At a rate limit it falls to zero within maxRateBackoff: the capacity
 // is so small that a queue once reported would keep all requests away, and with
--- a/call/call.go
+++ b/call/call.go
@@ -57,6 +57,9 @@
 	// the sender, whose node may have restarted since; 0 for none. Between nodes
 	// it is part of the frame.
 	KnownRateLimit float64 `msgpack:"-"`
+	// KnownUpAt is the InstanceState.UpAt with which KnownRateLimit was stated.
+	// Between nodes it is part of the frame.
+	KnownUpAt UnixMilli `msgpack:"-"`
 	// AwaitRate lets the request wait for the instance's rate limit, because no
 	// other instance takes it. Between nodes it is part of the frame.
 	AwaitRate bool `msgpack:"-"`
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -111,7 +111,7 @@
 func (n *Node) attempt(ctx context.Context, q *request, in balance.Choice, att *attempts) call.Answer {
 	sent := time.Now()
 	a, reachable := n.send(ctx, q, in, att)
-	o := balance.Outcome{Route: q.route.Name, Unreachable: !reachable, Leaving: a.Leaving, Load: a.Load, RateLimit: a.State.RateLimit, RateWait: a.RateWait}
+	o := balance.Outcome{Route: q.route.Name, Unreachable: !reachable, Leaving: a.Leaving, Load: a.Load, RateLimit: a.State.RateLimit, UpAt: a.State.UpAt, RateWait: a.RateWait}
 	if a.RateWait > 0 {
 		att.rateRefusals++
 	} else {
@@ -183,7 +183,7 @@
 // the request was not executed.
 func (n *Node) send(ctx context.Context, q *request, in balance.Choice, att *attempts) (a call.Answer, reachable bool) {
 	r := q.Request
-	r.To, r.KnownRateLimit = string(in.ID), in.RateLimit
+	r.To, r.KnownRateLimit, r.KnownUpAt = string(in.ID), in.RateLimit, in.RateLimitUpAt
 	if !q.queueDeadline.IsZero() {
 		q.HTTP.MaxQueueWait = max(time.Until(q.queueDeadline), minQueueWait)
 	}
--- a/sidecar/rate_limit_test.go
+++ b/sidecar/rate_limit_test.go
@@ -109,13 +109,18 @@
 // load sends requests from callers at all nodes, each with a pause between its
 // requests, for a period. It returns how many requests got each status code.
 func (m *mesh) load(path string, callersPerNode int, pause, period time.Duration) map[int]int {
+	return m.loadFrom(m.vms, path, callersPerNode, pause, period)
+}
+
+// loadFrom is load from callers at some nodes only.
+func (m *mesh) loadFrom(vms []*vm, path string, callersPerNode int, pause, period time.Duration) map[int]int {
 	var (
 		wg    sync.WaitGroup
 		mu    sync.Mutex
 		codes = map[int]int{}
 		until = time.Now().Add(period)
 	)
-	for _, v := range m.vms {
+	for _, v := range vms {
 		for range callersPerNode {
 			wg.Go(func() {
 				for time.Now().Before(until) {
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -202,7 +202,8 @@
 	if local := n.meter.Threshold(); local < l.Threshold {
 		l.Threshold, l.Bottleneck = local, n.cfg.Service
 	}
-	a.Load, a.State.RateLimit = &l, n.targetRate.get()
+	a.Load = &l
+	n.targetRate.addTo(&a.State)
 	return a
 }
 
--- a/sidecar/statement.go
+++ b/sidecar/statement.go
@@ -38,10 +38,11 @@
 		gate *slots.Gate // of the local target
 
 		mu        sync.Mutex
-		of        directory.Incarnation
-		answered  bool      // the target has stated a valid limit, or none, since the node's start
-		limit     float64   // requests per second; 0 for none
-		limitedAt time.Time // when the last answer with a rate limit arrived
+		of        directory.Incarnation // as listed
+		by        directory.Sighting    // of the run that stated the limit or none
+		answered  bool                  // the target has stated a valid limit, or none, since the node's start
+		limit     float64               // requests per second; 0 for none
+		limitedAt time.Time             // when the last answer with a rate limit arrived
 	}
 )
 
@@ -62,16 +63,16 @@
 	return s, nil
 }
 
-// record applies a statement of a run of the target in an answer to a request
+// record applies a statement of the run of the target that answered a request
 // sent at a given time, and returns the limit before and after.
 //
 // Answers on different connections arrive in any order, so the end of a rate
 // limit is taken only from an answer to a request that was sent after the limit
 // was last stated. An invalid limit leaves the one in force as it is.
-func (t *targetRate) record(of directory.Incarnation, st statement, sent time.Time) (before, after float64) {
+func (t *targetRate) record(by directory.Sighting, st statement, sent time.Time) (before, after float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	accepted := t.accept(of)
+	accepted := t.accept(by)
 	before = t.limit
 	if !accepted {
 		return before, before
@@ -92,10 +93,10 @@
 // adopt applies the rate limit that another node knows of a run of the target
 // from before this node started, the lowest of several, until the target answers
 // here. It returns the limit before and after.
-func (t *targetRate) adopt(of directory.Incarnation, known float64) (before, after float64) {
+func (t *targetRate) adopt(by directory.Sighting, known float64) (before, after float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	accepted := t.accept(of)
+	accepted := t.accept(by)
 	before = t.limit
 	if accepted && !t.answered && (before == 0 || known < before) {
 		t.limit = known
@@ -104,37 +105,42 @@
 	return before, t.limit
 }
 
-// begin makes a run of the target the present one.
+// begin makes a run of the target that is now listed the present one. What it
+// stated before stays in force; what another run stated is discarded.
 func (t *targetRate) begin(of directory.Incarnation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.beginLocked(of)
-}
-
-// beginLocked discards what another run stated. While the directory does not
-// list the target only its ID is known, with a start of 0; what was stated then
-// is kept, since the target's next answer corrects it.
-func (t *targetRate) beginLocked(of directory.Incarnation) {
-	if t.of.ID != of.ID || (t.of.At != 0 && t.of != of) {
-		before := t.limit
-		t.answered, t.limit, t.limitedAt = false, 0, time.Time{}
-		t.apply(before)
+	if t.of == of {
+		return
+	}
+	if !t.by.IsOfUnlisted(of) {
+		t.discard()
 	}
 	t.of = of
 }
 
-// accept reports whether a statement of a run concerns the present one. A later
-// run becomes the present one.
-func (t *targetRate) accept(of directory.Incarnation) bool {
+// accept reports whether a statement is not one of a run before the present one.
+// An instance with another ID has replaced the present one.
+func (t *targetRate) accept(by directory.Sighting) bool {
 	switch {
-	case t.of.ID != of.ID, t.of.At < of.At:
-		t.beginLocked(of)
-	case of.At != 0 && of.At < t.of.At:
+	case by.ID != t.of.ID:
+		t.discard()
+		t.of = directory.Incarnation{ID: by.ID}
+	case !by.NotBefore(t.of):
 		return false
 	}
+	if t.by.ID != by.ID || t.by.At < by.At {
+		t.by = by
+	}
 	return true
 }
 
+func (t *targetRate) discard() {
+	before := t.limit
+	t.by, t.answered, t.limit, t.limitedAt = directory.Sighting{}, false, 0, time.Time{}
+	t.apply(before)
+}
+
 // apply passes a changed limit to the gate.
 func (t *targetRate) apply(before float64) {
 	if t.limit != before {
@@ -149,6 +155,17 @@
 	return t.limit
 }
 
+// addTo sets the limit in force in the state that is reported with an answer,
+// which may state the leaving of an earlier run.
+func (t *targetRate) addTo(s *call.InstanceState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.RateLimit = t.limit
+	if !s.Leaving {
+		s.UpAt = t.by.At
+	}
+}
+
 // recordStatement records what an answer of the local target to a request sent at
 // a given time states about the target, and returns it.
 func (n *Node) recordStatement(r call.Request, by directory.Sighting, h http.Header, sent time.Time) statement {
@@ -159,7 +176,7 @@
 			return log.Fields{"id": r.ID, "instance": r.To, "error": err.Error()}
 		})
 	}
-	before, after := n.targetRate.record(n.incarnationOf(r.To), st, sent)
+	before, after := n.targetRate.record(by, st, sent)
 	n.logRateLimit(r, before, after)
 	if st.leaving {
 		n.dir.MarkLeaving(by)
@@ -173,7 +190,11 @@
 	if r.KnownRateLimit == 0 {
 		return
 	}
-	before, after := n.targetRate.adopt(n.incarnationOf(r.To), r.KnownRateLimit)
+	by := directory.Sighting{ID: directory.InstanceID(r.To), At: r.KnownUpAt}
+	if by.At == 0 {
+		by.At = directory.UnixMilli(time.Now().UnixMilli()) // not sent by former versions
+	}
+	before, after := n.targetRate.adopt(by, r.KnownRateLimit)
 	n.logRateLimit(r, before, after)
 }
 
@@ -186,15 +207,6 @@
 	})
 }
 
-// incarnationOf returns the run of the local target that a request sent to an
-// instance now reaches. Its start is 0 if the directory does not list it.
-func (n *Node) incarnationOf(id string) directory.Incarnation {
-	if self := n.self.Load(); self != nil && string(self.ID) == id {
-		return self.Incarnation()
-	}
-	return directory.Incarnation{ID: directory.InstanceID(id)}
-}
-
 // targetLeaving reports whether the local target has stated that it leaves.
 func (n *Node) targetLeaving() bool {
 	self := n.self.Load()
--- a/sidecar/statement_test.go
+++ b/sidecar/statement_test.go
@@ -54,7 +54,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("An answer without a limit counts if its request was sent after the last answer with one", t, func() {
 			s := targetRate{gate: slots.NewGate(10, slots.DefaultQueueOrder())}
-			run, next := directory.Incarnation{ID: "i", At: 1}, directory.Incarnation{ID: "i", At: 2}
+			run, next := directory.Sighting{ID: "i", At: 1}, directory.Sighting{ID: "i", At: 2}
+			s.begin(directory.Incarnation(run))
 			early := time.Now()
 			time.Sleep(time.Second)
 			_, got := s.record(run, statement{rateLimit: 5}, early)
@@ -71,6 +72,8 @@
 			_, got = s.record(run, statement{}, time.Now())
 			So(got, ShouldEqual, 0)
 			s.record(run, statement{rateLimit: 3}, time.Now())
+			s.begin(directory.Incarnation(next))
+			So(s.get(), ShouldEqual, 0)
 			_, got = s.record(next, statement{}, time.Now())
 			So(got, ShouldEqual, 0)
 			_, got = s.record(run, statement{rateLimit: 3}, time.Now())
@@ -78,7 +81,7 @@
 		})
 		Convey("A limit that was stated before the directory listed the target stays in force", t, func() {
 			s := targetRate{gate: slots.NewGate(10, slots.DefaultQueueOrder())}
-			s.record(directory.Incarnation{ID: "i"}, statement{rateLimit: 3}, time.Now())
+			s.record(directory.Sighting{ID: "i", At: 7}, statement{rateLimit: 3}, time.Now())
 			s.begin(directory.Incarnation{ID: "i", At: 7})
 			So(s.get(), ShouldEqual, 3)
 			s.begin(directory.Incarnation{ID: "i", At: 8})
@@ -93,12 +96,12 @@
 	Convey("The gate is limited, whether the target or a peer says so", t, func() {
 		gate := slots.NewGate(10, slots.DefaultQueueOrder())
 		s := targetRate{gate: gate}
-		s.record(directory.Incarnation{ID: "a"}, statement{rateLimit: 3}, time.Now())
+		s.record(directory.Sighting{ID: "a"}, statement{rateLimit: 3}, time.Now())
 		So(gate.RateBound(), ShouldBeTrue)
-		_, got := s.record(directory.Incarnation{ID: "b"}, statement{rateLimit: 3}, time.Now())
+		_, got := s.record(directory.Sighting{ID: "b"}, statement{rateLimit: 3}, time.Now())
 		So(got, ShouldEqual, 3)
 		So(gate.RateBound(), ShouldBeTrue)
-		_, got = s.adopt(directory.Incarnation{ID: "c"}, 5)
+		_, got = s.adopt(directory.Sighting{ID: "c"}, 5)
 		So(got, ShouldEqual, 5)
 		So(gate.RateBound(), ShouldBeTrue)
 	})
@@ -109,7 +112,7 @@
 func TestMalformedRateLimitIsNoAnswerToWhatPeersKnow(t *testing.T) {
 	Convey("What a peer knows holds until the target states a limit or none", t, func() {
 		s := targetRate{gate: slots.NewGate(10, slots.DefaultQueueOrder())}
-		run := directory.Incarnation{ID: "i"}
+		run := directory.Sighting{ID: "i"}
 		_, got := s.record(run, statement{invalid: true}, time.Now())
 		So(got, ShouldEqual, 0)
 		_, got = s.adopt(run, 3)
--- a/sidecar/unlisted_run_test.go
+++ b/sidecar/unlisted_run_test.go
@@ -161,6 +161,58 @@
 	})
 }
 
+// Guards against requests beyond a rate limit that an instance stated before the
+// directory listed its restart.
+func TestRateLimitOfUnlistedRunHoldsOnceItIsListed(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		listed func(m *mesh, v *vm) // between the statement and the listing
+	}{
+		{"its node is up", func(*mesh, *vm) {}},
+		{"its node has restarted", func(m *mesh, v *vm) { m.restartNode(v) }},
+	} {
+		Convey("It gets what the limit allows once it is listed, where "+c.name, t, func() {
+			m := newMesh(t, "versand", "archiv")
+			sender, v := m.vms[0], m.vms[1]
+			target := limitTargets(m.vms[1:], 400*time.Millisecond)[0]
+			m.listFirstRun(v)
+			started := m.restartTarget(v)
+			target.setLimit("0.5")
+			served, _ := m.answered(sender, v)
+			So(served, ShouldBeTrue)
+			c.listed(m, v)
+			v.setStart(started, 10, m.vms...)
+			time.Sleep(tellTime)
+			m.loadFrom(m.vms[:1], "/read/x", 20, 5*time.Millisecond, 3*time.Second) // the restarted one does not know of the limit
+			So(target.mostInWindow(), ShouldBeLessThanOrEqualTo, int(ruleRatio*0.5*ruleWindow.Seconds())+ruleSlack)
+			So(v.node.targetRate.get(), ShouldEqual, 0.5)
+		})
+	}
+}
+
+// Guards against a rate limit of the run before that is applied to the present
+// one, because a sender knows of it that does not list the present one yet.
+func TestRateLimitOfFormerRunIsNotAdopted(t *testing.T) {
+	Convey("The restarted node lists the present run and has no limit for it", t, func() {
+		m := newMesh(t, "versand", "archiv")
+		sender, v := m.vms[0], m.vms[1]
+		target := limitTargets(m.vms[1:], time.Millisecond)[0]
+		m.listFirstRun(v)
+		target.setLimit("0.25")
+		served, _ := m.answered(sender, v)
+		So(served, ShouldBeTrue)
+		started := m.restartTarget(v)
+		target.setLimit("")
+		m.restartNode(v)
+		v.setStart(started, 10, v)
+		v.node.adoptKnown(call.Request{To: string(v.self.ID), KnownRateLimit: 0.25, KnownUpAt: started - 1})
+		So(v.node.targetRate.get(), ShouldEqual, 0)
+		served, _ = m.answered(sender, v)
+		So(served, ShouldBeTrue)
+		So(v.node.targetRate.get(), ShouldEqual, 0)
+	})
+}
+
 // Guards against statements that are lost while the nodes of instances run a former
 // version, which does not say which run answered.
 func TestStatementOfFormerVersionIsOfTheListedRun(t *testing.T) {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -39,7 +39,7 @@
 		Leaving   bool           // of call.Answer.State
 		AwaitRate bool           // call.Request.AwaitRate
 		RateWait  time.Duration  // call.Answer.RateWait
-		UpAt      call.UnixMilli // of call.Answer.State
+		UpAt      call.UnixMilli // call.Request.KnownUpAt, or that of call.Answer.State
 	}
 )
 
@@ -112,7 +112,7 @@
 func (f *Frame) extension() extension {
 	switch {
 	case f.Request != nil:
-		return extension{RateLimit: f.Request.KnownRateLimit, AwaitRate: f.Request.AwaitRate}
+		return extension{RateLimit: f.Request.KnownRateLimit, AwaitRate: f.Request.AwaitRate, UpAt: f.Request.KnownUpAt}
 	case f.Answer != nil:
 		return extension{RateLimit: f.Answer.State.RateLimit, Leaving: f.Answer.State.Leaving, RateWait: f.Answer.RateWait, UpAt: f.Answer.State.UpAt}
 	}
@@ -123,7 +123,7 @@
 func (f *Frame) extend(x extension) {
 	switch {
 	case f.Request != nil:
-		f.Request.KnownRateLimit, f.Request.AwaitRate = x.RateLimit, x.AwaitRate
+		f.Request.KnownRateLimit, f.Request.AwaitRate, f.Request.KnownUpAt = x.RateLimit, x.AwaitRate, x.UpAt
 	case f.Answer != nil:
 		f.Answer.State = call.InstanceState{RateLimit: x.RateLimit, Leaving: x.Leaving, UpAt: x.UpAt}
 		f.Answer.RateWait = x.RateWait
--- a/wire/versions_test.go
+++ b/wire/versions_test.go
@@ -48,7 +48,7 @@
 // the previous version cannot skip.
 func TestExtensionIsLastFieldOfFrame(t *testing.T) {
 	for name, f := range map[string]Frame{
-		"request": {Kind: KindRequest, Request: &call.Request{ID: "r1", KnownRateLimit: 0.5, AwaitRate: true}},
+		"request": {Kind: KindRequest, Request: &call.Request{ID: "r1", KnownRateLimit: 0.5, KnownUpAt: 1788000000123, AwaitRate: true}},
 		"answer":  {Kind: KindAnswer, Answer: &call.Answer{ID: "r1", State: call.InstanceState{RateLimit: 17, Leaving: true, UpAt: 1788000000123}, RateWait: time.Second}},
 	} {
 		Convey("What the "+name+" states is decoded, and is one more element", t, func() {
