Count a failure for the run of the target that it came from

Callers saw: an instance that had just been listed was avoided for failures that it did not have; the more requests the run before had in progress, the longer.

Cause: the failures are reset when a run is listed, but requests that are still in progress at the run before fail later, when it exits or their connections end, and were counted against the one listed by then.

An outcome counts unless its connection was opened to an earlier run (Sighting again). A refused connection counts for the run that was up when it was tried.

Not changed: what a run did before it was listed is dropped when it is listed, and it starts with no failures. The outcomes of two runs can't be told apart in a mean, and the next answers show a failing one.

--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -116,12 +116,14 @@
 	progress := n.slowdown.Begin(r.Operation)
 	n.running.add(r.ID, runningRequest{route: r.Operation, level: r.HTTP.Level, retry: r.HTTP.Retry, progress: progress})
 	began := time.Now()
-	a := n.callTarget(ctx, r, deadline)
+	a, by := n.callTarget(ctx, r, deadline)
 	took := time.Since(began)
 	n.recordRun(qs, &a)
 	finished := n.running.remove(r.ID)
 	progress.End(a.Status == call.OK)
-	n.health.Record(n.targetFailed(ctx, r, a, finished, took))
+	if !n.isOfFormerRun(by) {
+		n.health.Record(n.targetFailed(ctx, r, a, finished, took))
+	}
 	overloadSlotTime := finished.overloadSlotTime
 	if n.meter.Threshold() < admit.MaxLevel {
 		overloadSlotTime += took
@@ -207,13 +209,14 @@
 	return a
 }
 
-// callTarget sends a request to the local target.
-func (n *Node) callTarget(ctx context.Context, r call.Request, deadline time.Time) call.Answer {
+// callTarget sends a request to the local target, and returns which run of it
+// answered or would have.
+func (n *Node) callTarget(ctx context.Context, r call.Request, deadline time.Time) (call.Answer, directory.Sighting) {
 	began := time.Now()
 	by := directory.Sighting{ID: directory.InstanceID(r.To), At: directory.UnixMilli(began.UnixMilli())}
 	remaining := deadline.Sub(began).Milliseconds()
 	if remaining <= 0 {
-		return call.Refuse(r, "deadline passed", 0)
+		return call.Refuse(r, "deadline passed", 0), by
 	}
 	headers := n.cfg.Headers
 	h := make(http.Header, len(r.HTTP.Header)+3)
@@ -231,15 +234,15 @@
 		if errors.Is(err, targetconn.ErrConnRefused) {
 			n.vouchChecker.RecordExit(by.At)
 		}
-		return call.Refuse(r, err.Error(), 0)
+		return call.Refuse(r, err.Error(), 0), by
 	case err != nil:
-		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), ReachedTarget: true, InstanceExit: n.targetExitDuring(ctx, &r, began)}
+		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), ReachedTarget: true, InstanceExit: n.targetExitDuring(ctx, &r, began)}, by
 	}
 	a := n.classifyAnswer(r, resp)
 	if a.Status != call.Unknown && !a.Leaving && n.recordStatement(r, by, resp.Header, began).leaving {
 		a.State.Leaving, a.State.UpAt = true, by.At
 	}
-	return a
+	return a, by
 }
 
 // classifyAnswer maps a target's response to a call status.
--- a/sidecar/statement.go
+++ b/sidecar/statement.go
@@ -207,6 +207,13 @@
 	})
 }
 
+// isOfFormerRun reports whether an answer came from a run of the target before
+// the one that is listed.
+func (n *Node) isOfFormerRun(by directory.Sighting) bool {
+	self := n.self.Load()
+	return self != nil && !by.NotBefore(self.Incarnation())
+}
+
 // targetLeaving reports whether the local target has stated that it leaves.
 func (n *Node) targetLeaving() bool {
 	self := n.self.Load()
--- a/sidecar/unlisted_run_test.go
+++ b/sidecar/unlisted_run_test.go
@@ -213,6 +213,32 @@
 	})
 }
 
+// Guards against a run that is avoided for the failures of the one before, whose
+// requests end only after the present one is listed.
+func TestLateFailureOfFormerRunDoesNotCount(t *testing.T) {
+	Convey("The present run has no failures", t, func() {
+		m := newMesh(t, "versand", "archiv")
+		sender, v := m.vms[0], m.vms[1]
+		m.listFirstRun(v)
+		arrived := make(chan struct{})
+		former := m.startFormer(v, func(_ http.ResponseWriter, r *http.Request) {
+			close(arrived)
+			<-r.Context().Done()
+		})
+		failed := make(chan reply, 1)
+		go func() {
+			_, got := m.send(context.Background(), sender, http.MethodPost, "/publish/x", "", nil)
+			failed <- got
+		}()
+		<-arrived
+		started := m.replaceListener(v, former)
+		v.setStart(started, 10, m.vms...)
+		former.server.Close()
+		So((<-failed).code, ShouldBeGreaterThanOrEqualTo, http.StatusInternalServerError)
+		So(v.node.health.FailureRate(), ShouldEqual, 0)
+	})
+}
+
 // Guards against statements that are lost while the nodes of instances run a former
 // version, which does not say which run answered.
 func TestStatementOfFormerVersionIsOfTheListedRun(t *testing.T) {
