Let a target of the soak wait for its address

A run of the soak ended at once with "listen tcp 127.0.41.2:29154: bind: address already in use", when a target was started at the address of one that had been closed.

Cause: a node was being started at that moment. Until the child executes its program it shares the descriptors of the test, the listener that was closed among them.

Ruled out: connections of the target before (the address can be reused while they are closing); another test at the same port, which is drawn and checked.

The target tries again for a second. What the tests check is unchanged.

--- a/soak/target.go
+++ b/soak/target.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -8,14 +9,19 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/oatpin/oatpin/call"
 	"github.com/rotisserie/eris"
 )
 
-// serviceTime is how long a Target takes to execute a request.
-const serviceTime = 5 * time.Millisecond
+const (
+	// serviceTime is how long a Target takes to execute a request.
+	serviceTime = 5 * time.Millisecond
+	// listenTimeout is how long a Target may wait for its address to be free.
+	listenTimeout = time.Second
+)
 
 // Target is a simulated instance that echoes the ID of each request and counts
 // executions. Its methods are safe for concurrent use.
@@ -47,7 +53,7 @@
 // NewTarget starts a target that serves at addr as the instance with the given
 // ID.
 func NewTarget(id, addr string, h call.Headers) (*Target, error) {
-	listener, err := net.Listen("tcp", addr)
+	listener, err := listen(addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "target at %s", addr)
 	}
@@ -57,6 +63,18 @@
 	return t, nil
 }
 
+// listen listens at an address within listenTimeout. The listener before may still
+// be open for a moment in a process that is being started: until it executes its
+// program, it shares the descriptors of this one.
+func listen(addr string) (net.Listener, error) {
+	for until := time.Now().Add(listenTimeout); ; time.Sleep(time.Millisecond) {
+		l, err := net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return l, err
+		}
+	}
+}
+
 // FailHealthChecks makes the health check fail. The target still serves
 // requests.
 func (t *Target) FailHealthChecks() {
