--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -169,6 +169,12 @@
 // startTarget closes the target of a node, if there is one, and starts another
 // with the given ID at the same address.
 func (d *deployment) startTarget(v *vm, id string) {
+	d.startUnlistedTarget(v, id)
+	d.must(d.store.PutInstance(v.instance))
+}
+
+// startUnlistedTarget is startTarget without an entry in the store.
+func (d *deployment) startUnlistedTarget(v *vm, id string) {
 	if v.target != nil {
 		v.target.Close()
 		v.previousTargets = append(v.previousTargets, v.target)
@@ -179,7 +185,6 @@
 	d.must(err)
 	t := v.target
 	t.SetOnPoison(sync.OnceFunc(func() { d.crashTarget(v, t) }))
-	d.must(d.store.PutInstance(v.instance))
 }
 
 // crashTarget closes a target at once and replaces it after restartDelay.
