--- a/wire/conn_bench_test.go
+++ b/wire/conn_bench_test.go
@@ -61,7 +61,7 @@
 	for b.Loop() {
 		req, _ := msgpack.Marshal(&Frame{Kind: KindRequest, Stream: 123456, Request: &r, ConfigVersion: 42, From: "entwurf-1"})
 		ans, _ := msgpack.Marshal(&Frame{Kind: KindAnswer, Stream: 123456, Answer: &a, ConfigVersion: 42})
-		a.State.RateLimit = 15.3
+		a.State.RateLimit, a.State.UpAt = 15.3, call.UnixMilli(time.Now().UnixMilli())
 		stated, _ := msgpack.Marshal(&Frame{Kind: KindAnswer, Stream: 123456, Answer: &a, ConfigVersion: 42})
 		a.State.RateLimit = 0
 		ping, _ := msgpack.Marshal(&Frame{Kind: KindPing, Stream: 123456})
