Run models in one place with the clock of the tests

noDeadlineTB stood in the tests of directory and replication, beside the same two lines that begin a bubble and a check of rapid; a third model would have repeated them. modeltest.Check has both. The models, their steps and checks are unchanged (moved one level out); both packages pass.

--- a/directory/restored_model_test.go
+++ b/directory/restored_model_test.go
@@ -3,9 +3,9 @@
 import (
 	"maps"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"github.com/oatpin/oatpin/modeltest"
 	"pgregory.net/rapid"
 )
 
@@ -105,27 +105,21 @@
 // Guards against instances that a restored source brings back although the node
 // was told that they leave or are gone, and against live ones that stay out.
 func TestRestoresDoNotReviveInstances(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		rapid.Check(noDeadlineTB{t}, func(t *rapid.T) {
-			m := &restoreModel{d: New(Config{Log: discardLog}), rev: 1, entries: map[InstanceID]Instance{}, told: map[InstanceID]told{}}
-			id := rapid.SampledFrom([]InstanceID{"a", "b", "c"})
-			t.Repeat(map[string]func(*rapid.T){
-				"ready":   func(t *rapid.T) { m.write(id.Draw(t, "id"), false) },
-				"leave":   func(t *rapid.T) { m.write(id.Draw(t, "id"), true) },
-				"remove":  func(t *rapid.T) { m.remove(id.Draw(t, "id")) },
-				"backup":  func(*rapid.T) { m.takeBackup() },
-				"restore": func(*rapid.T) { m.restore() },
-				"load":    func(*rapid.T) { m.load() },
-				"wait": func(t *rapid.T) {
-					time.Sleep(time.Duration(rapid.IntRange(1, 70).Draw(t, "tenths")) * 100 * time.Millisecond)
-					m.d.ExpireUnlisted()
-				},
-				"": m.check,
-			})
+	modeltest.Check(t, func(t *rapid.T) {
+		m := &restoreModel{d: New(Config{Log: discardLog}), rev: 1, entries: map[InstanceID]Instance{}, told: map[InstanceID]told{}}
+		id := rapid.SampledFrom([]InstanceID{"a", "b", "c"})
+		t.Repeat(map[string]func(*rapid.T){
+			"ready":   func(t *rapid.T) { m.write(id.Draw(t, "id"), false) },
+			"leave":   func(t *rapid.T) { m.write(id.Draw(t, "id"), true) },
+			"remove":  func(t *rapid.T) { m.remove(id.Draw(t, "id")) },
+			"backup":  func(*rapid.T) { m.takeBackup() },
+			"restore": func(*rapid.T) { m.restore() },
+			"load":    func(*rapid.T) { m.load() },
+			"wait": func(t *rapid.T) {
+				time.Sleep(time.Duration(rapid.IntRange(1, 70).Draw(t, "tenths")) * 100 * time.Millisecond)
+				m.d.ExpireUnlisted()
+			},
+			"": m.check,
 		})
 	})
 }
-
-// noDeadlineTB hides T.Deadline, which must not be called in a synctest bubble,
-// from rapid.
-type noDeadlineTB struct{ rapid.TB }
--- a/directory/sighting_model_test.go
+++ b/directory/sighting_model_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/oatpin/oatpin/modeltest"
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 )
@@ -59,29 +60,27 @@
 // Guards against what a run states being taken for the word of the run before or
 // after it, whenever the runs are listed and in whatever order answers arrive.
 func TestStatementsAreOfTheRunThatAnswered(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		routes := testRoutes(t, 1)
-		rapid.Check(noDeadlineTB{t}, func(t *rapid.T) {
-			m := &runModel{d: New(DefaultConfig(discardLog)), rev: 1}
-			m.d.Replace(Snapshot{Revision: 1, Routes: routes})
-			m.startRun()
-			m.list(0)
-			for range rapid.IntRange(1, 25).Draw(t, "steps") {
-				run := rapid.IntRange(0, len(m.starts)-1).Draw(t, "run")
-				switch rapid.IntRange(0, 2).Draw(t, "step") {
-				case 0:
-					m.startRun()
-				case 1:
-					m.list(run)
-				default:
-					m.stateLeaving(run, time.Duration(rapid.IntRange(0, 20).Draw(t, "after_ms"))*time.Millisecond)
-				}
-				in, ok := m.d.View().Find("a")
-				if !ok || in.Leaving != m.left() {
-					t.Fatalf("run %d of %d is in use as leaving: %v, stated by run: %v", m.listed, len(m.starts), in.Leaving, m.leaving)
-				}
+	routes := testRoutes(t, 1)
+	modeltest.Check(t, func(t *rapid.T) {
+		m := &runModel{d: New(DefaultConfig(discardLog)), rev: 1}
+		m.d.Replace(Snapshot{Revision: 1, Routes: routes})
+		m.startRun()
+		m.list(0)
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			run := rapid.IntRange(0, len(m.starts)-1).Draw(t, "run")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				m.startRun()
+			case 1:
+				m.list(run)
+			default:
+				m.stateLeaving(run, time.Duration(rapid.IntRange(0, 20).Draw(t, "after_ms"))*time.Millisecond)
 			}
-		})
+			in, ok := m.d.View().Find("a")
+			if !ok || in.Leaving != m.left() {
+				t.Fatalf("run %d of %d is in use as leaving: %v, stated by run: %v", m.listed, len(m.starts), in.Leaving, m.leaving)
+			}
+		}
 	})
 }
 
--- a/replication/model_test.go
+++ b/replication/model_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/modeltest"
 	"pgregory.net/rapid"
 )
 
@@ -118,66 +119,64 @@
 // whose revision decreases or that stay behind, under crashes, restarts,
 // partitions, rejected calls, instance changes and late or duplicate deltas.
 func TestNodesMatchStoreHistory(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		rapid.Check(noDeadlineTB{t}, func(t *rapid.T) {
-			m := &model{fleet: newFleet(12, 3), t: t, known: map[*node]directory.Revision{}, faultsChanged: time.Now()}
-			m.run(5 * time.Second)
-			toggle := func(t *rapid.T, f func(*node)) { m.changeFaults(func() { f(m.node(t)) }) }
-			t.Repeat(map[string]func(*rapid.T){
-				"change": func(t *rapid.T) { m.store.put(m.node(t).in) },
-				"remove": func(t *rapid.T) { m.store.remove(m.node(t).in.ID) },
-				// The store loses its latest changes; some are written again.
-				"restore": func(t *rapid.T) {
-					m.changeFaults(func() { m.store.restore(rapid.IntRange(0, 8).Draw(t, "lost")) })
-					for range rapid.IntRange(0, 8).Draw(t, "rewritten") {
-						m.store.put(m.node(t).in)
+	modeltest.Check(t, func(t *rapid.T) {
+		m := &model{fleet: newFleet(12, 3), t: t, known: map[*node]directory.Revision{}, faultsChanged: time.Now()}
+		m.run(5 * time.Second)
+		toggle := func(t *rapid.T, f func(*node)) { m.changeFaults(func() { f(m.node(t)) }) }
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) { m.store.put(m.node(t).in) },
+			"remove": func(t *rapid.T) { m.store.remove(m.node(t).in.ID) },
+			// The store loses its latest changes; some are written again.
+			"restore": func(t *rapid.T) {
+				m.changeFaults(func() { m.store.restore(rapid.IntRange(0, 8).Draw(t, "lost")) })
+				for range rapid.IntRange(0, 8).Draw(t, "rewritten") {
+					m.store.put(m.node(t).in)
+				}
+			},
+			"kill": func(t *rapid.T) {
+				toggle(t, func(n *node) {
+					if n.alive {
+						n.kill()
 					}
-				},
-				"kill": func(t *rapid.T) {
-					toggle(t, func(n *node) {
-						if n.alive {
-							n.kill()
-						}
-					})
-				},
-				"start": func(t *rapid.T) {
-					toggle(t, func(n *node) {
-						if !n.alive {
-							delete(m.known, n)
-							n.start()
-						}
-					})
-				},
-				"silent": func(t *rapid.T) {
-					toggle(t, func(n *node) { n.link.storeUnreachable.Store(!n.link.storeUnreachable.Load()) })
-				},
-				"turned": func(t *rapid.T) { toggle(t, func(n *node) { n.link.storeRejects.Store(!n.link.storeRejects.Load()) }) },
-				"cut":    func(t *rapid.T) { toggle(t, func(n *node) { n.link.isolated.Store(!n.link.isolated.Load()) }) },
-				"hear":   m.sendDelta,
-				"mend": func(*rapid.T) {
-					m.repair()
-					m.run(maxLagAfterRepair)
-					m.expectCaughtUp(maxLagOneFault)
-				},
-				"": func(t *rapid.T) {
-					m.run(time.Duration(rapid.IntRange(1, 20).Draw(t, "ticks")) * checkInterval)
-				},
-			})
-			m.repair()
-			m.run(maxLagAfterRepair)
-			// With one faulty node all others must stay current.
-			faulty := m.node(t)
-			rapid.SampledFrom([]func(){
-				func() { faulty.link.storeUnreachable.Store(true) }, func() { faulty.link.storeRejects.Store(true) },
-				func() { faulty.link.isolated.Store(true) }, faulty.kill,
-			}).Draw(t, "fault")()
-			m.run(time.Duration(rapid.IntRange(0, 40).Draw(t, "ticks")) * checkInterval)
-			m.expectCaughtUp(maxLagOneFault)
-			m.repair()
-			m.close()
-			time.Sleep(time.Minute)
-			synctest.Wait()
+				})
+			},
+			"start": func(t *rapid.T) {
+				toggle(t, func(n *node) {
+					if !n.alive {
+						delete(m.known, n)
+						n.start()
+					}
+				})
+			},
+			"silent": func(t *rapid.T) {
+				toggle(t, func(n *node) { n.link.storeUnreachable.Store(!n.link.storeUnreachable.Load()) })
+			},
+			"turned": func(t *rapid.T) { toggle(t, func(n *node) { n.link.storeRejects.Store(!n.link.storeRejects.Load()) }) },
+			"cut":    func(t *rapid.T) { toggle(t, func(n *node) { n.link.isolated.Store(!n.link.isolated.Load()) }) },
+			"hear":   m.sendDelta,
+			"mend": func(*rapid.T) {
+				m.repair()
+				m.run(maxLagAfterRepair)
+				m.expectCaughtUp(maxLagOneFault)
+			},
+			"": func(t *rapid.T) {
+				m.run(time.Duration(rapid.IntRange(1, 20).Draw(t, "ticks")) * checkInterval)
+			},
 		})
+		m.repair()
+		m.run(maxLagAfterRepair)
+		// With one faulty node all others must stay current.
+		faulty := m.node(t)
+		rapid.SampledFrom([]func(){
+			func() { faulty.link.storeUnreachable.Store(true) }, func() { faulty.link.storeRejects.Store(true) },
+			func() { faulty.link.isolated.Store(true) }, faulty.kill,
+		}).Draw(t, "fault")()
+		m.run(time.Duration(rapid.IntRange(0, 40).Draw(t, "ticks")) * checkInterval)
+		m.expectCaughtUp(maxLagOneFault)
+		m.repair()
+		m.close()
+		time.Sleep(time.Minute)
+		synctest.Wait()
 	})
 }
 
@@ -196,7 +195,3 @@
 		}
 	})
 }
-
-// noDeadlineTB hides T.Deadline, which must not be called in a synctest bubble,
-// from rapid.
-type noDeadlineTB struct{ rapid.TB }
