--- a/sidecar/rate_limit_test.go
+++ b/sidecar/rate_limit_test.go
@@ -60,6 +60,12 @@
 	l.limit = limit
 }
 
+func (l *limitedTarget) setLeaving(leaving bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving = leaving
+}
+
 // arrivedSince returns how many requests arrived later than a period after the
 // first answer that stated something.
 func (l *limitedTarget) arrivedSince(period time.Duration) int {
--- a/sidecar/unlisted_run_test.go
+++ b/sidecar/unlisted_run_test.go
@@ -15,11 +15,21 @@
 // uptime is how long ago the first run of a target in these tests was started.
 const uptime = 5 * time.Second
 
+// beforeListing is what happens to the node of a target between a statement of the
+// target and its listing.
+var beforeListing = []struct {
+	name    string
+	happens func(m *mesh, v *vm)
+}{
+	{"its node is up", func(*mesh, *vm) {}},
+	{"its node has restarted", func(m *mesh, v *vm) { m.restartNode(v) }},
+}
+
 // restartTarget replaces the process of v's target by another under the same ID,
 // and returns when that was started. Nothing lists it yet.
 func (m *mesh) restartTarget(v *vm) directory.UnixMilli {
 	v.stopTarget()
-	time.Sleep(2 * time.Millisecond)
+	time.Sleep(2 * time.Millisecond) // for a start later than the last connection
 	return m.startNext(v)
 }
 
@@ -52,13 +62,7 @@
 // Guards against requests to an instance that stated that it leaves before the
 // directory listed its restart.
 func TestRunThatLeavesBeforeItIsListedGetsNoRequests(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		listed func(m *mesh, v *vm) // between the statement and the listing
-	}{
-		{"its node is up", func(*mesh, *vm) {}},
-		{"its node has restarted", func(m *mesh, v *vm) { m.restartNode(v) }},
-	} {
+	for _, c := range beforeListing {
 		Convey("It gets none once it is listed, where "+c.name, t, func() {
 			m := newMesh(t, "versand", "archiv")
 			sender, v := m.vms[0], m.vms[1]
@@ -68,10 +72,10 @@
 			So(served, ShouldBeTrue)
 
 			started := m.restartTarget(v)
-			target.leaving = true
+			target.setLeaving(true)
 			served, _ = m.answered(sender, v)
 			So(served, ShouldBeTrue)
-			c.listed(m, v)
+			c.happens(m, v)
 			v.setStart(started, 10, m.vms...)
 			time.Sleep(drainBound + 100*time.Millisecond)
 			for range 5 {
@@ -92,11 +96,11 @@
 		target := limitTargets(m.vms[1:], time.Millisecond)[0]
 		m.listFirstRun(v)
 		m.restartTarget(v)
-		target.leaving = true
+		target.setLeaving(true)
 		served, _ := m.answered(sender, v)
 		So(served, ShouldBeTrue)
 		started := m.restartTarget(v)
-		target.leaving = false
+		target.setLeaving(false)
 		v.setStart(started, 10, m.vms...)
 		served, runs := m.answered(sender, v)
 		So(served, ShouldBeTrue)
@@ -124,7 +128,7 @@
 // while the one before goes on serving its open connections.
 func (m *mesh) replaceListener(v *vm, former formerTarget) directory.UnixMilli {
 	former.listener.Close()
-	time.Sleep(2 * time.Millisecond)
+	time.Sleep(2 * time.Millisecond) // for a start later than the last connection
 	return m.startNext(v)
 }
 
@@ -164,13 +168,7 @@
 // Guards against requests beyond a rate limit that an instance stated before the
 // directory listed its restart.
 func TestRateLimitOfUnlistedRunHoldsOnceItIsListed(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		listed func(m *mesh, v *vm) // between the statement and the listing
-	}{
-		{"its node is up", func(*mesh, *vm) {}},
-		{"its node has restarted", func(m *mesh, v *vm) { m.restartNode(v) }},
-	} {
+	for _, c := range beforeListing {
 		Convey("It gets what the limit allows once it is listed, where "+c.name, t, func() {
 			m := newMesh(t, "versand", "archiv")
 			sender, v := m.vms[0], m.vms[1]
@@ -180,7 +178,7 @@
 			target.setLimit("0.5")
 			served, _ := m.answered(sender, v)
 			So(served, ShouldBeTrue)
-			c.listed(m, v)
+			c.happens(m, v)
 			v.setStart(started, 10, m.vms...)
 			time.Sleep(tellTime)
 			m.loadFrom(m.vms[:1], "/read/x", 20, 5*time.Millisecond, 3*time.Second) // the restarted one does not know of the limit
