Read the source at a node that reaches no other

Cause: a node reads the store once all nodes of its data centre that rank before it were passed over. It asks them one by one, a quarter of a second each, and the first are asked again after 2 s: with 39 nodes in a data centre a node far down never reads. One of the eight that were cut off got there after 4.7 s and was turned back 0.25 s later.

A node now reads after three polls in a row without an answer, until one is answered. Ruled out: two polls (both readers of a small data centre killed at once would send all its nodes to the store); asking all at once.

Evidence: TestNodeCutOffFromOthersReadsSource has all nodes in 1.2 s at 15, 200 and 1,100 nodes; before, at 200, none of those cut off after 3 s. The other tests of replication pass; a change still costs the same calls (TestChangePropagatesWithFewSourceCalls).

--- a/replication/fake_test.go
+++ b/replication/fake_test.go
@@ -56,6 +56,7 @@
 		storeUnreachable atomic.Bool // the store does not answer the node
 		storeRejects     atomic.Bool // the store rejects the node's calls
 		isolated         atomic.Bool // the node reaches neither the store nor other nodes
+		peersUnreachable atomic.Bool // the node reaches the store but no other node
 	}
 
 	// node is a Syncer with its link and lifecycle. Only the goroutine of the
@@ -188,12 +189,15 @@
 	return l.storeUnreachable.Load() || l.isolated.Load() || l.fleet.isolatedDC == l.dc
 }
 
+// cutOff reports whether the node reaches no other node.
+func (l *link) cutOff() bool { return l.isolated.Load() || l.peersUnreachable.Load() }
+
 // partitioned reports whether two nodes cannot reach each other.
 func (f *fleet) partitioned(a, b *node) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	acrossDCs := a.in.DC != b.in.DC && (f.isolatedDC == a.in.DC || f.isolatedDC == b.in.DC)
-	return acrossDCs || a.link.isolated.Load() || b.link.isolated.Load()
+	return acrossDCs || a.link.cutOff() || b.link.cutOff()
 }
 
 func (f *fleet) isolateDC(dc callgraph.DC) {
--- a/replication/fleet_test.go
+++ b/replication/fleet_test.go
@@ -174,6 +174,28 @@
 	})
 }
 
+// Guards against a node that keeps old routes while it reaches no other node,
+// although it reaches the source: it must not ask all others first.
+func TestNodeCutOffFromOthersReadsSource(t *testing.T) {
+	for _, s := range fleetSizes {
+		runInFleet(t, s.nodes, s.dcs, func(t *testing.T, f *fleet) {
+			r := f.order[0].currentRanking()
+			for _, all := range r.nodes {
+				f.nodes[all[len(all)-1]].link.peersUnreachable.Store(true)
+			}
+			time.Sleep(time.Second)
+			Convey(fmt.Sprint("With ", s.nodes, " nodes a change reaches those that are cut off, and the next one"), t, func() {
+				for range 2 {
+					_, all := f.propagate(3 * time.Second)
+					t.Logf("%d nodes: all after %v", s.nodes, all)
+					So(f.lagging(), ShouldBeEmpty)
+					time.Sleep(5 * time.Second)
+				}
+			})
+		})
+	}
+}
+
 // The store rejects all readers of one data centre. Its nodes must not consider
 // the source unreachable while other data centres reach it, or they would
 // answer 503 for paths without a route and keep removed entries.
--- a/replication/syncer.go
+++ b/replication/syncer.go
@@ -27,6 +27,9 @@
 	// nodes from loading the source with every node's calls, and bounds the
 	// time in which the node cannot serve.
 	bootstrapTimeout = time.Second
+	// maxFailedPolls is after how many failed polls in a row a node reads the source
+	// itself. Two readers of a data centre may be lost at once.
+	maxFailedPolls = 3
 	// bootstrapRetryDelay is the pause after a seed that did not answer; it may
 	// still be starting. All nodes start within about 0.3 s of each other.
 	bootstrapRetryDelay = 50 * time.Millisecond
@@ -70,10 +73,11 @@
 
 		counters counters
 
-		// round counts the polls. Only the goroutine of Run uses round and
-		// backoffs.
-		round    int
-		backoffs peerBackoffs
+		// round counts the polls. Only the goroutine of Run uses round,
+		// failedPolls and backoffs.
+		round       int
+		failedPolls int // in a row
+		backoffs    peerBackoffs
 
 		mu              sync.Mutex
 		view            *directory.View // from which ranking was built
@@ -108,7 +112,7 @@
 	}
 	for ctx.Err() == nil {
 		readers := s.localReaders()
-		isReader := s.cfg.Peers == nil || len(readers) == 0 || slices.Contains(readers, s.cfg.Self)
+		isReader := s.cfg.Peers == nil || len(readers) == 0 || slices.Contains(readers, s.cfg.Self) || s.isCutOff()
 		s.setReader(ctx, isReader)
 		s.round++
 		switch {
@@ -122,6 +126,11 @@
 	}
 }
 
+// isCutOff reports whether this node seems to reach no other node. It then reads
+// the source: in a large data centre it would take until after a change is due to
+// ask all nodes that rank before it, and the first are asked again by then.
+func (s *Syncer) isCutOff() bool { return s.failedPolls >= maxFailedPolls }
+
 // PeerPolled records that another node polled this one. A node without a
 // snapshot then stops waiting for its seeds; otherwise nodes that start
 // together would wait for each other. It is safe for concurrent use.
@@ -249,11 +258,13 @@
 	}
 	s.counters.countPeerPoll(err)
 	if err != nil {
+		s.failedPolls++
 		if s.backoffs.recordFailure(at, time.Now()) {
 			s.log.WithField("peer", at).WithError(err).Info("reader_passed_over")
 		}
 		return
 	}
+	s.failedPolls = 0
 	s.backoffs.recordSuccess(at)
 	s.dir.ApplyDelta(delta)
 }
