Serve what a stopping node has taken until the grace period of its platform ends

Cause: nodes were not told the grace period, took 6 s for it on every deployment, and closed at nine tenths of it with requests in progress. New requests were accepted for 7/15 of it, whatever their timeout.

Ruled out: deadlines (the lost ones had time left), a stop that does not count requests of other nodes (it does).

A node that knows its grace period serves until 0.6 s before its end, a tenth at most. It refuses an action whose timeout is longer than what is left, since nobody would know whether it ran, and a read that could be cut only once callers know that the node leaves. A node that does not know it waits until all that it has taken has ended, each by its own deadline, so it needs no constant of one deployment. New requests are refused before the last look at the requests in progress, and the close waits for answers that are still being written.

--- a/cmd/oatpin/process_test.go
+++ b/cmd/oatpin/process_test.go
@@ -48,14 +48,14 @@
 	return cl
 }
 
-// start runs one role with the given settings and waits until it listens on
-// addr.
-func (cl *cluster) start(name, role, settings, addr string) *exec.Cmd {
+// start runs one role with the given settings and further arguments and waits
+// until it listens on addr.
+func (cl *cluster) start(name, role, settings, addr string, args ...string) *exec.Cmd {
 	path := filepath.Join(cl.dir, name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
 		cl.t.Fatal(err)
 	}
-	cmd := exec.Command(cl.bin, role, "-s", path)
+	cmd := exec.Command(cl.bin, append([]string{role, "-s", path}, args...)...)
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
 		cl.t.Fatal(err)
--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -21,13 +21,19 @@
 // memory, because each body is copied once or twice while it is forwarded.
 const bodyMemoryDivisor = 8
 
+var boundsFlag = &cli.StringFlag{Name: "bounds", Usage: "bounds of the deployment as the platform states them, such as Grace=6s,Drain=2000ms"}
+
 var sidecarCommand = &cli.Command{
 	Name:  "sidecar",
 	Usage: "run the node beside one target VM on the users' platform",
-	Flags: []cli.Flag{settingsFlag},
+	Flags: []cli.Flag{settingsFlag, boundsFlag},
 	Action: func(c *cli.Context) error {
 		path := c.String("settings")
-		s, err := loadSidecar(path)
+		bounds, err := platform.ParseBounds(c.String("bounds"))
+		if err != nil {
+			return err
+		}
+		s, err := loadSidecar(path, bounds)
 		if err != nil {
 			return err
 		}
@@ -50,13 +56,18 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		go reloadOnSIGHUP(ctx, path, s, n, lg)
+		go reloadOnSIGHUP(ctx, func() (settings.Sidecar, error) { return loadSidecar(path, bounds) }, s, n, lg)
 		return runUntilSignal(n.Serve, n.Shutdown)
 	},
 }
 
-func loadSidecar(path string) (settings.Sidecar, error) {
+// loadSidecar loads the settings. Bounds of the platform are the defaults of what
+// the file leaves out.
+func loadSidecar(path string, bounds platform.Bounds) (settings.Sidecar, error) {
 	s := settings.DefaultSidecar()
+	if bounds.Grace > 0 {
+		s.ShutdownGrace = bounds.Grace
+	}
 	err := settings.Load(path, "sidecar", &s)
 	return s, err
 }
@@ -78,7 +89,7 @@
 
 // reloadOnSIGHUP reloads the settings on each SIGHUP. An invalid file leaves the
 // current settings in effect; changes that need a restart are logged as such.
-func reloadOnSIGHUP(ctx context.Context, path string, s settings.Sidecar, n *sidecar.Node, lg log.Interface) {
+func reloadOnSIGHUP(ctx context.Context, load func() (settings.Sidecar, error), s settings.Sidecar, n *sidecar.Node, lg log.Interface) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -88,7 +99,7 @@
 			return
 		case <-hup:
 		}
-		next, err := loadSidecar(path)
+		next, err := load()
 		if err != nil {
 			lg.WithError(err).Error("settings_refused")
 			continue
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -152,7 +152,7 @@
 			require("seed", seed, isHostPort)
 		}
 		requireMin("memory_mb", s.MemoryMB > 0)
-		requireMin("grace", s.ShutdownGrace > 0)
+		requireMin("grace", s.ShutdownGrace > 0 || s.ShutdownGrace == UnknownGrace)
 		requireMin("repeat_window", s.RetryWindow > 0)
 		requireMin("repeat_ratio", s.RetryRatio >= 0)
 		requireMin("repeat_slack", s.MinRetries >= 0)
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -6,12 +6,14 @@
 	"github.com/oatpin/oatpin/callgraph"
 )
 
+// UnknownGrace is the ShutdownGrace of a node that is not told how long after
+// SIGTERM it is killed.
+const UnknownGrace time.Duration = -1
+
 // Defaults of the [sidecar] section.
 const (
-	defaultMemoryMB = 128
-	// defaultShutdownGrace must not exceed the time deployments leave between
-	// SIGTERM and SIGKILL.
-	defaultShutdownGrace = 6 * time.Second
+	defaultMemoryMB      = 128
+	defaultShutdownGrace = UnknownGrace
 	defaultRetryWindow   = 10 * time.Second
 	// defaultRetryRatio keeps retries within 0.2 of all requests when they add up
 	// over four call levels. Child requests of a retry are retries at each service
@@ -40,7 +42,7 @@
 	Metrics  string       `ini:"metrics"`   // host:port of the metrics endpoint
 	Store    string       `ini:"store"`     // host:port of the metadata store
 	MemoryMB int          `ini:"memory_mb"` // memory limit of the process
-	// ShutdownGrace bounds the shutdown of the process after SIGTERM.
+	// ShutdownGrace is the time from SIGTERM to SIGKILL, or UnknownGrace.
 	ShutdownGrace time.Duration `ini:"grace"`
 	// RetryRatio and MinRetries bound, for all nodes together, the requests
 	// resent to another instance within a sliding RetryWindow: a share of all
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -119,6 +119,7 @@
 	if err != nil {
 		return nil, &refusal{code: http.StatusBadRequest, cause: causeBadHeader, reason: err.Error()}
 	}
+	n.deadlines.record(received.Add(timeout))
 	id := call.RequestID(r.Header.Get(n.cfg.Headers.RequestID))
 	origin := n.originOf(id, rt)
 	if !origin.child {
@@ -197,7 +198,7 @@
 // node, the one that receives it from its caller, avoids partial work that
 // would be discarded.
 func (n *Node) admitNew(rt *directory.Route, level call.Level, remaining time.Duration) *refusal {
-	if since, ok := n.drainingSince(); ok && since > n.cfg.ShutdownGrace*refuseNewNum/refuseNewDen {
+	if since, ok := n.drainingSince(); n.refuseNew.Load() || (ok && !n.drain.acceptsNew(since, remaining, rt.Idempotent)) {
 		return &refusal{code: http.StatusServiceUnavailable, cause: causeLeaving, retryAfter: retryAfterUnavailable, reason: "node is leaving"}
 	}
 	if threshold := n.admission.Threshold(rt.Name); level > threshold {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -59,7 +59,8 @@
 		Tuning      Tuning
 		// Policies selects the enabled policies.
 		Policies Policies
-		// ShutdownGrace is the time from Shutdown until the process is killed.
+		// ShutdownGrace is the time from Shutdown until the process is killed; not
+		// positive if unknown.
 		ShutdownGrace time.Duration
 		Directory     *directory.Directory
 		// Source feeds the Directory. It is nil for a node that learns the
@@ -127,6 +128,10 @@
 		catchingUp     atomic.Bool  // a catch-up from a peer is in progress
 		lastVouch      atomic.Bool  // last result of vouching for the local instance
 		drainStart     atomic.Int64 // Unix time in nanoseconds; 0 before shutdown
+		drain          drainPolicy
+		deadlines      latestDeadline // of the requests accepted
+		refuseNew      atomic.Bool    // the node closes its connections
+		unusedConns    unusedConns    // from callers
 		self           atomic.Pointer[directory.Instance]
 		targetRun      atomic.Pointer[directory.Incarnation] // run of the local target that was last listed
 
@@ -167,6 +172,8 @@
 		isolation:    quarantine.NewIsolationLock(),
 		peerCursors:  cursorTable{cursors: map[replication.Addr]quarantine.Cursor{}},
 		stop:         make(chan struct{}),
+		drain:        drainPolicy{grace: cfg.ShutdownGrace},
+		unusedConns:  unusedConns{open: map[net.Conn]struct{}{}},
 
 		dropHeaders:             newDropHeaders(cfg.Headers, false),
 		dropHeadersWithAccounts: newDropHeaders(cfg.Headers, true),
@@ -190,7 +197,7 @@
 	n.tuning.Store(&cfg.Tuning)
 	n.peers = wire.NewPool(wire.PoolConfig{Log: cfg.Log, OnVersion: n.onPeerRevision, DisableSuspicion: !cfg.Policies.Suspicion})
 	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision}
-	n.callerServer = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	n.callerServer = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.unusedConns.track}
 	n.readyServer = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	n.metricsServer = &http.Server{Handler: n.stats, ReadHeaderTimeout: headerTimeout}
 	n.dir.OnChange(n.applyView)
@@ -225,7 +232,7 @@
 	}
 	go n.peers.KeepAlive(n.stop)
 	go n.runBackground()
-	n.log.WithFields(log.Fields{"callers": n.cfg.CallerAddr, "peer": n.cfg.PeerAddr, "service": n.cfg.Service}).Info("node_started")
+	n.log.WithFields(log.Fields{"callers": n.cfg.CallerAddr, "peer": n.cfg.PeerAddr, "service": n.cfg.Service, "grace_ms": n.cfg.ShutdownGrace.Milliseconds()}).Info("node_started")
 	err := <-failed
 	select {
 	case <-n.stop:
@@ -276,31 +283,3 @@
 	}
 	return 0
 }
-
-// Shutdown stops the node gracefully within its grace period. It fails the
-// readiness check, continues to serve requests, and returns when none are left
-// or most of the grace period has passed. The context is ignored.
-func (n *Node) Shutdown(context.Context) {
-	began := time.Now()
-	n.drainStart.Store(began.UnixNano())
-	n.startDrain()
-	n.log.Info("node_leaving")
-	deadline := began.Add(n.cfg.ShutdownGrace * drainTimeoutNum / drainTimeoutDen)
-	t := time.NewTicker(drainPollInterval)
-	defer t.Stop()
-	for now := range t.C {
-		idle := n.activeRequests.Load() == 0 && n.peerServer.InFlight() == 0
-		if now.After(deadline) || (idle && now.Sub(began) > minDrainTime) {
-			break
-		}
-	}
-	close(n.stop)
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if err := n.callerServer.Shutdown(ctx); err != nil {
-		n.log.WithError(err).Warn("callers_cut")
-	}
-	n.peerServer.CloseConns()
-	n.peers.Close()
-	n.log.WithField("took_ms", time.Since(began).Milliseconds()).Info("node_stopped")
-}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -36,7 +36,8 @@
 	if r.HTTP == nil {
 		return n.serveOperation(ctx, r)
 	}
-	if since, draining := n.drainingSince(); draining && since > choose(n.cfg.Policies.ServePeers, peerDrainDelay, 0) {
+	delay := choose(n.cfg.Policies.ServePeers, peerDrainDelay, 0)
+	if since, draining := n.drainingSince(); draining && !n.drain.acceptsPeer(since, delay, r.Remaining, r.HTTP.Idempotent) {
 		a := call.Refuse(r, "node is leaving", 0)
 		a.Leaving = true
 		return a
@@ -63,6 +64,7 @@
 // serveLocal serves a request by the local target within the time it has
 // left. ctx ends when the caller disconnects.
 func (n *Node) serveLocal(ctx context.Context, r call.Request) call.Answer {
+	n.deadlines.record(time.Now().Add(r.Remaining))
 	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
 	defer cancel()
 	return n.serveTarget(ctx, r)
