Handle SIGHUP from the start of a sidecar on

Callers saw, if settings change within the first milliseconds of a process: it ends, and starts again later.

Cause: the signal was handled only after the settings were read and the node was built; until then the default of the system ends the process.

A signal that comes meanwhile is kept, and the settings are read again. The time before main runs remains.

--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -28,6 +28,10 @@
 	Usage: "run the node beside one target VM on the users' platform",
 	Flags: []cli.Flag{settingsFlag, boundsFlag},
 	Action: func(c *cli.Context) error {
+		// A SIGHUP that is not handled yet would end the process.
+		hup := make(chan os.Signal, 1)
+		signal.Notify(hup, syscall.SIGHUP)
+		defer signal.Stop(hup)
 		path := c.String("settings")
 		bounds, err := platform.ParseBounds(c.String("bounds"))
 		if err != nil {
@@ -56,7 +60,8 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		go reloadOnSIGHUP(ctx, func() (settings.Sidecar, error) { return loadSidecar(path, bounds) }, s, n, lg)
+		load := func() (settings.Sidecar, error) { return loadSidecar(path, bounds) }
+		go reloadOnSIGHUP(ctx, hup, load, s, n, lg)
 		return runUntilSignal(n.Serve, n.Shutdown)
 	},
 }
@@ -87,12 +92,9 @@
 	}
 }
 
-// reloadOnSIGHUP reloads the settings on each SIGHUP. An invalid file leaves the
+// reloadOnSIGHUP reloads the settings on each signal of hup. An invalid file leaves the
 // current settings in effect; changes that need a restart are logged as such.
-func reloadOnSIGHUP(ctx context.Context, load func() (settings.Sidecar, error), s settings.Sidecar, n *sidecar.Node, lg log.Interface) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func reloadOnSIGHUP(ctx context.Context, hup <-chan os.Signal, load func() (settings.Sidecar, error), s settings.Sidecar, n *sidecar.Node, lg log.Interface) {
 	for {
 		select {
 		case <-ctx.Done():
