Keep repeats within the budget that the platform states

Operators would see, on a deployment that states half of the share, the slack or the window of the budget, more requests repeated than it allows.

The budget of a node was a constant of the first deployment: 0.05 of its requests, 2 beside, in 10 s. The 2 are each node's, so they grow with the nodes.

Before: TestRetriesOfManyNodesStayWithinSharedBudget, 196 nodes, all instances of a service with 1,000 requests fail: 392 repeats of the 306 that a slack of 106 allows. After: it holds for half and twice of what deployments state.

The stated bounds are defaults of the settings now: a quarter of the share (four levels of calls add up), the window, and each node's part of the slack, 2 at most as before.

--- a/budget/window.go
+++ b/budget/window.go
@@ -5,9 +5,18 @@
 	"time"
 )
 
-// windowBuckets is the number of buckets of a RetryWindow, which sets the
-// resolution of its sums to a tenth of its span.
-const windowBuckets = 10
+const (
+	// windowBuckets is the number of buckets of a RetryWindow, which sets the
+	// resolution of its sums to a tenth of its span.
+	windowBuckets = 10
+	// callLevels is the depth of call chains whose retries add up at the last
+	// service.
+	callLevels = 4
+)
+
+// NodeRatio returns the Ratio of each node with which the retries at every service
+// stay within a share of its requests.
+func NodeRatio(share float64) float64 { return share / callLevels }
 
 type (
 	// RetryWindowConfig configures a RetryWindow.
@@ -15,6 +24,8 @@
 		Span       time.Duration // length of the sliding window
 		Ratio      float64       // retries allowed per first try
 		MinRetries float64       // retries allowed in addition, also without first tries
+		// SharedRetries bounds MinRetries over all nodes together; 0 for no bound.
+		SharedRetries float64
 	}
 
 	// RetryWindow limits the retries that one node sends to one service over a
@@ -25,6 +36,7 @@
 		cfg RetryWindowConfig
 
 		mu      sync.Mutex
+		nodes   int // as set by SetNodeCount; 0 if unknown
 		buckets [windowBuckets]bucket
 	}
 
@@ -38,6 +50,13 @@
 // NewRetryWindow returns an empty RetryWindow.
 func NewRetryWindow(cfg RetryWindowConfig) *RetryWindow { return &RetryWindow{cfg: cfg} }
 
+// SetNodeCount sets the number of nodes that share the budget.
+func (w *RetryWindow) SetNodeCount(nodes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nodes = nodes
+}
+
 // CountFirstTry counts a first try.
 func (w *RetryWindow) CountFirstTry() {
 	w.mu.Lock()
@@ -81,7 +100,15 @@
 			retries += p.retries
 		}
 	}
-	return retries+1 <= w.cfg.Ratio*firstTries+w.cfg.MinRetries
+	return retries+1 <= w.cfg.Ratio*firstTries+w.minRetries()
+}
+
+// minRetries returns the retries allowed without first tries.
+func (w *RetryWindow) minRetries() float64 {
+	if w.cfg.SharedRetries <= 0 || w.nodes == 0 {
+		return w.cfg.MinRetries
+	}
+	return min(w.cfg.MinRetries, w.cfg.SharedRetries/float64(w.nodes))
 }
 
 // current returns the bucket of the current time, cleared if it held an
--- a/budget/window_test.go
+++ b/budget/window_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,3 +50,31 @@
 		})
 	})
 }
+
+// Guards against a budget that many nodes overdraw together, each with a few
+// retries, while all instances of a service with few requests fail.
+func TestRetriesOfManyNodesStayWithinSharedBudget(t *testing.T) {
+	for _, c := range []struct {
+		nodes, requests int
+		shared          float64
+	}{{16, 100, 50}, {16, 60, 25}, {70, 400, 102}, {196, 1000, 213}, {196, 1000, 106}, {400, 1000, 213}} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(fmt.Sprintf("%d nodes, %d requests in a window, %.0f retries beside the ratio", c.nodes, c.requests, c.shared), t, func() {
+				windows := make([]*RetryWindow, c.nodes)
+				for i := range windows {
+					windows[i] = NewRetryWindow(RetryWindowConfig{Span: 10 * time.Second, Ratio: 0.05, MinRetries: 2, SharedRetries: c.shared})
+					windows[i].SetNodeCount(c.nodes)
+				}
+				retries := 0
+				for i := range c.requests {
+					w := windows[i%c.nodes]
+					w.CountFirstTry()
+					if w.TryRetry() {
+						retries++
+					}
+				}
+				So(float64(retries), ShouldBeLessThanOrEqualTo, 0.2*float64(c.requests)+c.shared)
+			})
+		})
+	}
+}
--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -69,14 +69,27 @@
 // loadSidecar loads the settings. Bounds of the platform are the defaults of what
 // the file leaves out.
 func loadSidecar(path string, bounds platform.Bounds) (settings.Sidecar, error) {
-	s := settings.DefaultSidecar()
-	if bounds.Grace > 0 {
-		s.ShutdownGrace = bounds.Grace
-	}
+	s := defaultsWithin(bounds)
 	err := settings.Load(path, "sidecar", &s)
 	return s, err
 }
 
+// defaultsWithin returns the default settings of a node that keeps the bounds.
+func defaultsWithin(b platform.Bounds) settings.Sidecar {
+	s := settings.DefaultSidecar()
+	if b.Grace > 0 {
+		s.ShutdownGrace = b.Grace
+	}
+	s.RetryRatio, s.RetryWindow = budget.NodeRatio(b.Retry.Ratio), b.Retry.Window
+	switch {
+	case b.Retry.Slack > 0:
+		s.SharedRetries = b.Retry.Slack
+	case b.Retry.Slack == 0:
+		s.MinRetries = 0
+	}
+	return s
+}
+
 // loadPolicies loads the optional [policies] section.
 func loadPolicies(path string) (sidecar.Policies, error) {
 	p := sidecar.DefaultPolicies()
@@ -88,7 +101,7 @@
 func tuning(s settings.Sidecar) sidecar.Tuning {
 	return sidecar.Tuning{
 		MaxHeldBodyBytes: int64(s.MemoryMB) << 20 / bodyMemoryDivisor,
-		Retries:          budget.RetryWindowConfig{Span: s.RetryWindow, Ratio: s.RetryRatio, MinRetries: s.MinRetries},
+		Retries:          budget.RetryWindowConfig{Span: s.RetryWindow, Ratio: s.RetryRatio, MinRetries: s.MinRetries, SharedRetries: s.SharedRetries},
 	}
 }
 
@@ -116,6 +129,6 @@
 
 // withoutTuning returns the settings that only a restart applies.
 func withoutTuning(s settings.Sidecar) settings.Sidecar {
-	s.MemoryMB, s.RetryRatio, s.MinRetries, s.RetryWindow = 0, 0, 0, 0
+	s.MemoryMB, s.RetryRatio, s.MinRetries, s.SharedRetries, s.RetryWindow = 0, 0, 0, 0, 0
 	return s
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -156,6 +156,7 @@
 		requireMin("repeat_window", s.RetryWindow > 0)
 		requireMin("repeat_ratio", s.RetryRatio >= 0)
 		requireMin("repeat_slack", s.MinRetries >= 0)
+		requireMin("repeat_shared", s.SharedRetries >= 0)
 	case *Target:
 		require("service", s.Service, anyValue)
 		require("http", s.HTTP, isHostPort)
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -44,10 +44,12 @@
 	MemoryMB int          `ini:"memory_mb"` // memory limit of the process
 	// ShutdownGrace is the time from SIGTERM to SIGKILL, or UnknownGrace.
 	ShutdownGrace time.Duration `ini:"grace"`
-	// RetryRatio and MinRetries bound, for all nodes together, the requests
-	// resent to another instance within a sliding RetryWindow: a share of all
-	// requests plus a constant.
-	RetryRatio  float64       `ini:"repeat_ratio"`
-	MinRetries  float64       `ini:"repeat_slack"`
-	RetryWindow time.Duration `ini:"repeat_window"`
+	// RetryRatio and MinRetries bound the requests that this node resends to
+	// another instance within a sliding RetryWindow: a share of all requests plus
+	// a constant. SharedRetries bounds the constants of all nodes together; 0 for
+	// no bound.
+	RetryRatio    float64       `ini:"repeat_ratio"`
+	MinRetries    float64       `ini:"repeat_slack"`
+	SharedRetries float64       `ini:"repeat_shared"`
+	RetryWindow   time.Duration `ini:"repeat_window"`
 }
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -14,6 +14,7 @@
 // target.
 func (n *Node) applyView(v *directory.View) {
 	n.balancer.Prune(v)
+	n.shareRetryBudgets(len(v.All()))
 	n.queryUnlisted(v)
 	if registry := n.accountRegistry(); registry != nil {
 		n.limiter.SetRegistry(registry)
--- a/sidecar/tuning.go
+++ b/sidecar/tuning.go
@@ -18,7 +18,17 @@
 	w := n.retryBudgets[service]
 	if w == nil {
 		w = budget.NewRetryWindow(n.cfg.Policies.retryBudget(n.tuning.Load().Retries))
+		w.SetNodeCount(len(n.dir.View().All()))
 		n.retryBudgets[service] = w
 	}
 	return w
 }
+
+// shareRetryBudgets tells the retry budgets how many nodes share them.
+func (n *Node) shareRetryBudgets(nodes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, w := range n.retryBudgets {
+		w.SetNodeCount(nodes)
+	}
+}
