Check the key of every request that carries one, whatever its ID

Cause: a request whose ID is that of one in progress, a dot and more counts as a call of the target. Calls carry no key, so none was asked for, and one that came was not looked at. Ruled out: the registry, as the same key with another ID got 401.

Before: TestRequestWithKeyIsNeverAChild gets 200 for 401, and a call may last longer than its parent.

A request that carries a key is a new one now. One without a key cannot be told from a call; it gets no more time than its parent has left.

--- a/sidecar/account_test.go
+++ b/sidecar/account_test.go
@@ -267,3 +267,51 @@
 		So(admitted, ShouldBeGreaterThanOrEqualTo, min(sent, int(limited.Rate*took/2)))
 	})
 }
+
+// Guards against callers with a removed or unknown key that run requests by
+// numbering them after one in progress at the local target.
+func TestRequestWithKeyIsNeverAChild(t *testing.T) {
+	m := newAccountMesh(t)
+	v := m.vms[1]
+	running, finish := make(chan struct{}), make(chan struct{})
+	v.target.handleWith(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Request-Id") == "parent" {
+			close(running)
+			<-finish
+		}
+		writeSigned(w, r, http.StatusOK, r.Header.Get("Account"))
+	})
+	done := make(chan reply, 1)
+	go func() {
+		_, got := m.send(context.Background(), v, http.MethodGet, "/read/x", "", map[string]string{"Request-Id": "parent", "Authorization": "Key ks"})
+		done <- got
+	}()
+	<-running
+	Convey("Its key decides, whatever its ID", t, func() {
+		for i, c := range []struct {
+			key  string
+			code int
+			body string
+		}{{"Key no", http.StatusUnauthorized, ""}, {"Key", http.StatusUnauthorized, ""}, {"Bearer kl", http.StatusUnauthorized, ""}, {"Key kl", http.StatusOK, "large"}} {
+			id, got := m.send(context.Background(), v, http.MethodGet, "/read/x", "", map[string]string{"Request-Id": "parent." + strconv.Itoa(i), "Authorization": c.key})
+			So(got.code, ShouldEqual, c.code)
+			if c.code == http.StatusOK {
+				So(got.body, ShouldEqual, c.body)
+			} else {
+				So(v.target.runCount(id), ShouldEqual, 0)
+			}
+		}
+	})
+	Convey("A child request ends with its parent at the latest", t, func() {
+		time.Sleep(300 * time.Millisecond)
+		_, got := m.send(context.Background(), v, http.MethodGet, "/read/x", "", map[string]string{"Request-Id": "parent.c", "Deadline-Ms": ""})
+		So(got.code, ShouldEqual, http.StatusOK)
+		ms, err := strconv.Atoi(v.target.last.Header.Get("Deadline-Ms"))
+		So(err, ShouldBeNil)
+		parent, ok := v.node.running.childStarted("parent.x")
+		So(ok, ShouldBeTrue)
+		So(time.Now().Add(time.Duration(ms)*time.Millisecond), ShouldHappenBefore, parent.deadline.Add(100*time.Millisecond))
+	})
+	close(finish)
+	Convey("The parent is not affected", t, func() { So((<-done).code, ShouldEqual, http.StatusOK) })
+}
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -121,8 +121,11 @@
 	}
 	n.deadlines.record(received.Add(timeout))
 	id := call.RequestID(r.Header.Get(n.cfg.Headers.RequestID))
-	origin := n.originOf(id, rt)
-	if !origin.child {
+	keyed := routes.Accounts != nil && r.Header[n.cfg.Headers.APIKey] != nil
+	origin := n.originOf(id, rt, keyed)
+	if origin.child {
+		timeout = min(timeout, origin.parentDeadline.Sub(received))
+	} else {
 		var refused *refusal
 		if origin.account, refused = n.authenticate(r, routes, rt, id); refused != nil {
 			return nil, refused
@@ -169,20 +172,27 @@
 	level call.Level
 	child bool // sent by the local target while it executes another request
 	retry bool // the parent request is a retry
+	// parentDeadline is the deadline of the parent of a child request.
+	parentDeadline time.Time
 	// account is the authenticated account of a new request; nil for none.
 	account *account.Account
 	rank    int // of a new request
 }
 
 // originOf looks up the parent of a request. A child request inherits the
-// level of its parent.
-func (n *Node) originOf(id call.RequestID, rt *directory.Route) requestOrigin {
+// level of its parent and ends with it. Targets send no API keys, so a request
+// with a key is a new one, whatever its ID; otherwise a caller with a removed key
+// could run requests under the ID of one in progress.
+func (n *Node) originOf(id call.RequestID, rt *directory.Route, keyed bool) requestOrigin {
+	if keyed {
+		return requestOrigin{}
+	}
 	parent, ok := n.running.childStarted(id)
 	if !ok {
 		return requestOrigin{}
 	}
 	n.thresholds.RecordCall(parent.route, rt.Name)
-	return requestOrigin{level: parent.level, child: true, retry: parent.retry}
+	return requestOrigin{level: parent.level, child: true, retry: parent.retry, parentDeadline: parent.deadline}
 }
 
 // assignLevel sets the rank and admission level of a new request.
--- a/sidecar/overload_test.go
+++ b/sidecar/overload_test.go
@@ -20,8 +20,8 @@
 		m.vms[0].target.handleWith(func(w http.ResponseWriter, r *http.Request) {
 			v := m.vms[0]
 			id := r.Header.Get("Request-Id")
-			origin := v.node.originOf(requestID(id+".c1"), &testRoutes[2])
-			other := v.node.originOf(requestID("x.c1"), &testRoutes[2])
+			origin := v.node.originOf(requestID(id+".c1"), &testRoutes[2], false)
+			other := v.node.originOf(requestID("x.c1"), &testRoutes[2], false)
 			v.node.thresholds.RecordThreshold("lookup", 0, "versand")
 			below, _ := v.node.thresholds.CalleeThreshold("read")
 			if !origin.child || other.child || origin.level != admit.LevelOf(2, requestID(id)) || below != 0 {
--- a/sidecar/running.go
+++ b/sidecar/running.go
@@ -22,6 +22,7 @@
 	// runningRequest is one request in progress at the local target.
 	runningRequest struct {
 		route            string
+		deadline         time.Time
 		level            call.Level
 		retry            bool
 		childFailed      bool          // some child request has failed
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -116,7 +116,7 @@
 		defer cancel()
 	}
 	progress := n.slowdown.Begin(r.Operation)
-	n.running.add(r.ID, runningRequest{route: r.Operation, level: r.HTTP.Level, retry: r.HTTP.Retry, progress: progress})
+	n.running.add(r.ID, runningRequest{route: r.Operation, deadline: deadline, level: r.HTTP.Level, retry: r.HTTP.Retry, progress: progress})
 	began := time.Now()
 	a, by := n.callTarget(ctx, r, deadline)
 	took := time.Since(began)
