End only its request when the handler of a frame panics

Callers would see: every request in progress at a node ends without an answer, because one of them met a fault of the program. net/http recovers from panics of its handlers; the server of node-to-node connections did not, so the process ended.

Before: TestPanicEndsItsRequestOnly ends the test process. After: the sender learns that the request may have run, the log has the panic with its stack, and the next request is served.

--- a/node/node.go
+++ b/node/node.go
@@ -130,7 +130,7 @@
 		n.localChain = filter.Chain(filter.HandlerFunc(n.callTarget), filter.Deadline(cfg.ClockSkew), filter.Drain(&n.leaving), n.dedup.Filter())
 		n.policy = baselinePolicy{}
 	}
-	n.wire = wire.Server{Handler: n.servePeer, Version: n.version, OnVersion: n.onPeerVersion}
+	n.wire = wire.Server{Handler: n.servePeer, Version: n.version, OnVersion: n.onPeerVersion, Log: n.log}
 	n.http = &http.Server{Handler: n.routes(), ReadHeaderTimeout: 5 * time.Second}
 	if cfg.Graph != nil {
 		n.Apply(cfg.Graph)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -198,7 +198,7 @@
 	n.queueWait, n.retryAfter = cfg.Policies.queueWait(), cfg.Policies.retryAfter()
 	n.tuning.Store(&cfg.Tuning)
 	n.peers = wire.NewPool(wire.PoolConfig{Log: cfg.Log, OnVersion: n.onPeerRevision, DisableSuspicion: !cfg.Policies.Suspicion})
-	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision}
+	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log}
 	n.callerServer = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.unusedConns.track}
 	n.readyServer = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	n.metricsServer = &http.Server{Handler: n.stats, ReadHeaderTimeout: headerTimeout}
--- a/wire/server.go
+++ b/wire/server.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 
+	"github.com/apex/log"
 	"github.com/oatpin/oatpin/call"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -25,6 +28,7 @@
 		// OnVersion, if not nil, is called with the sender and configuration
 		// version of each request.
 		OnVersion func(from string, v uint64)
+		Log       log.Interface // of handlers that panic
 
 		inFlight atomic.Int64
 
@@ -121,12 +125,24 @@
 	s.inFlight.Add(1)
 	go func() {
 		defer s.inFlight.Add(-1)
-		a := s.Handler(ctx, *f.Request)
+		a := s.handle(ctx, *f.Request)
 		sc.cancelCall(f.Stream)
 		sc.send(Frame{Kind: KindAnswer, Stream: f.Stream, Answer: &a})
 	}()
 }
 
+// handle calls the handler. A panic ends the request, which may have run, and not
+// the process with all its others.
+func (s *Server) handle(ctx context.Context, r call.Request) (a call.Answer) {
+	defer func() {
+		if v := recover(); v != nil {
+			s.Log.WithFields(log.Fields{"id": r.ID, "panic": fmt.Sprint(v), "stack": string(debug.Stack())}).Error("request_panicked")
+			a = call.Answer{ID: r.ID, Status: call.Unknown, Reason: "the request ended in a panic"}
+		}
+	}()
+	return s.Handler(ctx, r)
+}
+
 // cancelCall cancels the context of the call on stream s, if it is in flight.
 func (sc *serverConn) cancelCall(s Stream) {
 	sc.mu.Lock()
