Keep a node without free descriptors alive, and some of them free

Callers saw: a node of a limit of 128 descriptors and 200 idle callers ended by itself when anything connected to its peer port, three of three times.

Cause: wire.Server.Serve returned every error of Accept but net.ErrClosed, and a node ends when one of its servers does. Nothing bounded callers' connections.

Ruled out: leaked connections.

Failed accepts are retried on all listeners. Callers may use half of the descriptors; beyond that the one idle for longest is closed for the next, or the next waits. Lines of http.Server reach the structured log at a bounded rate.

--- a/cmd/oatpin/grace_test.go
+++ b/cmd/oatpin/grace_test.go
@@ -26,9 +26,8 @@
 // sidecarPair is the sidecar process of one VM and a target that takes longWork
 // for each request.
 type sidecarPair struct {
-	ip, service string
-	callers     string // host:port
-	proc        *exec.Cmd
+	callers, peer, ready string // host:port
+	proc                 *exec.Cmd
 }
 
 // sidecars starts, on addresses of network, a store and for each service a target
@@ -57,7 +56,7 @@
 		}
 		proc := cl.start(ip, "sidecar", fmt.Sprintf("[sidecar]\nname=%s\ndc=dc\nservice=%s\ntarget=%s\ncallers=%s\npeer=%s\nready=%s\nmetrics=%s\nstore=%s\n",
 			s, s, target, at(0), at(1), at(2), at(3), storeAddr), at(0), args...)
-		pairs = append(pairs, sidecarPair{ip: ip, service: s, callers: at(0), proc: proc})
+		pairs = append(pairs, sidecarPair{callers: at(0), peer: at(1), ready: at(2), proc: proc})
 		if !cl.waitStatus("http://"+at(2)+"/", http.StatusOK) {
 			cl.t.Fatalf("%s is not ready", s)
 		}
--- a/cmd/oatpin/process_test.go
+++ b/cmd/oatpin/process_test.go
@@ -27,6 +27,8 @@
 	bin   string
 	dir   string
 	procs map[string]*exec.Cmd
+	// descriptors is the descriptor limit of the processes started; 0 for none.
+	descriptors int
 
 	configServiceAddr string // host:port of the configuration service, set by startPair
 }
@@ -55,7 +57,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
 		cl.t.Fatal(err)
 	}
-	cmd := exec.Command(cl.bin, append([]string{role, "-s", path}, args...)...)
+	cmd := cl.command(append([]string{role, "-s", path}, args...))
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
 		cl.t.Fatal(err)
@@ -72,6 +74,15 @@
 	return nil
 }
 
+// command returns a command that runs the program with args.
+func (cl *cluster) command(args []string) *exec.Cmd {
+	if cl.descriptors == 0 {
+		return exec.Command(cl.bin, args...)
+	}
+	limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, cl.descriptors)
+	return exec.Command("sh", append([]string{"-c", limited, cl.bin}, args...)...)
+}
+
 // allocatedPorts are the ports that freePorts has returned.
 var allocatedPorts = map[int]bool{}
 
--- a/node/node.go
+++ b/node/node.go
@@ -162,10 +162,10 @@
 	go n.watchVMs()
 	go n.gossipConfig()
 	go n.peers.KeepAlive(n.stop)
-	go n.wire.Serve(peerLn)
+	go n.wire.Serve(wire.NewListener(peerLn, n.log))
 	n.log.WithFields(log.Fields{"http": httpLn.Addr().String(), "peer": peerLn.Addr().String()}).Info("node_started")
 	go func() { <-n.stop; peerLn.Close() }()
-	err := n.http.Serve(httpLn)
+	err := n.http.Serve(wire.NewListener(httpLn, n.log))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/sidecar/caller_conn.go
+++ b/sidecar/caller_conn.go
@@ -3,9 +3,7 @@
 import (
 	"errors"
 	"net"
-	"net/http"
 	"os"
-	"sync"
 	"time"
 )
 
@@ -19,45 +17,21 @@
 
 type (
 	// callerListener accepts connections from callers.
-	callerListener struct{ net.Listener }
+	callerListener struct {
+		net.Listener
+		conns *callerConns
+	}
 
 	// callerConn is a connection from a caller. A write fails if the caller reads
 	// nothing for answerStallTimeout, because one that is frozen, or sends requests
 	// and reads no answers, would otherwise hold an answer in memory without end
 	// and keep the node from stopping. A caller that reads slowly is not cut.
 	callerConn struct{ net.Conn }
-
-	// unusedConns are the connections from callers on which no request has been
-	// read yet. http.Server.Shutdown keeps them open for seconds. It is safe for
-	// concurrent use.
-	unusedConns struct {
-		mu   sync.Mutex
-		open map[net.Conn]struct{}
-	}
 )
 
-// track is the ConnState hook of the callers' server.
-func (u *unusedConns) track(c net.Conn, state http.ConnState) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if state == http.StateNew {
-		u.open[c] = struct{}{}
-	} else {
-		delete(u.open, c)
-	}
-}
-
-// close closes the connections.
-func (u *unusedConns) close() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for c := range u.open {
-		c.Close()
-	}
-}
-
-// Accept waits for the next connection.
+// Accept waits for the next connection, and for room for it.
 func (l callerListener) Accept() (net.Conn, error) {
+	l.conns.awaitRoom()
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/sidecar/caller_conns.go
@@ -0,0 +1,118 @@
+package sidecar
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// callerDescriptorDivisor is the part of the process's descriptors that
+	// connections from callers may use. The rest is for other nodes, the target,
+	// the directory source and readiness checks.
+	callerDescriptorDivisor = 2
+	// assumedDescriptors is the descriptor limit if the system states none.
+	assumedDescriptors = 1024
+	// unusedConnTimeout is how long a caller may keep a connection before its first
+	// request while others wait for one.
+	unusedConnTimeout = time.Second
+	// roomPollInterval is how often a full node looks for idle connections.
+	roomPollInterval = 5 * time.Millisecond
+)
+
+type (
+	// callerConns are the open connections from callers. When they reach their
+	// limit, the one that has been idle for longest is closed for the next, and if
+	// none is idle, the next waits: callers must not use up the descriptors that
+	// the node needs for requests in progress. It is safe for concurrent use.
+	callerConns struct {
+		limit int
+
+		mu   sync.Mutex
+		open map[net.Conn]callerConnState
+	}
+
+	callerConnState struct {
+		http.ConnState
+		since   time.Time
+		closing bool
+	}
+)
+
+func newCallerConns(limit int) *callerConns {
+	return &callerConns{limit: limit, open: map[net.Conn]callerConnState{}}
+}
+
+// maxDescriptors returns the descriptor limit of the process.
+func maxDescriptors() int {
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		return assumedDescriptors
+	}
+	return int(min(l.Cur, 1<<30)) // no limit is the largest number
+}
+
+// track is the ConnState hook of the callers' server.
+func (c *callerConns) track(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(c.open, conn)
+		return
+	}
+	c.open[conn] = callerConnState{ConnState: state, since: time.Now()}
+}
+
+// closeUnused closes the connections that have carried no request yet.
+func (c *callerConns) closeUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, s := range c.open {
+		if s.ConnState == http.StateNew {
+			conn.Close()
+		}
+	}
+}
+
+// awaitRoom waits until there are fewer connections than the limit.
+func (c *callerConns) awaitRoom() {
+	for !c.makeRoom() {
+		time.Sleep(roomPollInterval)
+	}
+}
+
+// makeRoom reports whether there is room for another connection. If all are in
+// use, it closes the one that has been idle for longest.
+func (c *callerConns) makeRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.open) < c.limit {
+		return true
+	}
+	now, kept := time.Now(), 0
+	var oldest net.Conn
+	for conn, s := range c.open {
+		if s.closing {
+			continue
+		}
+		kept++
+		if s.idle(now) && (oldest == nil || s.since.Before(c.open[oldest].since)) {
+			oldest = conn
+		}
+	}
+	if kept >= c.limit && oldest != nil {
+		s := c.open[oldest]
+		s.closing = true
+		c.open[oldest] = s
+		oldest.Close()
+		kept--
+	}
+	return kept < c.limit
+}
+
+// idle reports whether the connection can be closed for another.
+func (s callerConnState) idle(now time.Time) bool {
+	return s.ConnState == http.StateIdle || (s.ConnState == http.StateNew && now.Sub(s.since) > unusedConnTimeout)
+}
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -101,7 +101,7 @@
 	ctx, cancel := n.serveUntilIdle(began)
 	defer cancel()
 	close(n.stop)
-	time.AfterFunc(closeTimeout, n.unusedConns.close)
+	time.AfterFunc(closeTimeout, n.callerConns.closeUnused)
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.log.WithError(err).Warn("callers_cut")
 	}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -133,7 +133,7 @@
 		drain          drainPolicy
 		deadlines      latestDeadline // of the requests accepted
 		refuseNew      atomic.Bool    // the node closes its connections
-		unusedConns    unusedConns    // from callers
+		callerConns    *callerConns
 		self           atomic.Pointer[directory.Instance]
 		targetRun      atomic.Pointer[directory.Incarnation] // run of the local target that was last listed
 
@@ -175,7 +175,7 @@
 		peerCursors:  cursorTable{cursors: map[replication.Addr]quarantine.Cursor{}},
 		stop:         make(chan struct{}),
 		drain:        drainPolicy{grace: cfg.ShutdownGrace},
-		unusedConns:  unusedConns{open: map[net.Conn]struct{}{}},
+		callerConns:  newCallerConns(maxDescriptors() / callerDescriptorDivisor),
 
 		dropHeaders:             newDropHeaders(cfg.Headers, false),
 		dropHeadersWithAccounts: newDropHeaders(cfg.Headers, true),
@@ -199,9 +199,12 @@
 	n.tuning.Store(&cfg.Tuning)
 	n.peers = wire.NewPool(wire.PoolConfig{Log: cfg.Log, OnVersion: n.onPeerRevision, DisableSuspicion: !cfg.Policies.Suspicion})
 	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log}
-	n.callerServer = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.unusedConns.track}
+	n.callerServer = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.callerConns.track}
 	n.readyServer = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	n.metricsServer = &http.Server{Handler: n.stats, ReadHeaderTimeout: headerTimeout}
+	for _, s := range []*http.Server{n.callerServer, n.readyServer, n.metricsServer} {
+		s.ErrorLog = newServerLog(cfg.Log)
+	}
 	n.dir.OnChange(n.applyView)
 	n.stats.registerGauges(n)
 	return n, nil
@@ -215,6 +218,7 @@
 		if err != nil {
 			return eris.Wrapf(err, "listen %s", addr)
 		}
+		l = wire.NewListener(l, n.log)
 		go func() { failed <- serve(l) }()
 		go func() { <-n.stop; l.Close() }()
 		return nil
@@ -234,7 +238,7 @@
 	}
 	go n.peers.KeepAlive(n.stop)
 	go n.runBackground()
-	n.log.WithFields(log.Fields{"callers": n.cfg.CallerAddr, "peer": n.cfg.PeerAddr, "service": n.cfg.Service, "grace_ms": n.cfg.ShutdownGrace.Milliseconds()}).Info("node_started")
+	n.log.WithFields(log.Fields{"callers": n.cfg.CallerAddr, "peer": n.cfg.PeerAddr, "service": n.cfg.Service, "grace_ms": n.cfg.ShutdownGrace.Milliseconds(), "max_callers": n.callerConns.limit}).Info("node_started")
 	err := <-failed
 	select {
 	case <-n.stop:
@@ -244,7 +248,9 @@
 	}
 }
 
-func (n *Node) serveCallers(l net.Listener) error { return n.callerServer.Serve(callerListener{l}) }
+func (n *Node) serveCallers(l net.Listener) error {
+	return n.callerServer.Serve(callerListener{l, n.callerConns})
+}
 
 // syncerConfig returns the configuration of the node's Syncer. self is the
 // address at which other nodes reach this one, derived from its instance. The
