Count the bodies of requests against the memory as they arrive

Cause: a body counted once it was whole, one in chunks passed whatever its size, a buffer doubled to two or three times its body, and bodies that nodes send each other did not count. Ruled out: a leak.

Before: TestArrivingBodiesCountAgainstMemory counts 0 bytes and refuses none of 16 bodies of 300 KB for 1 MB. After: it holds.

Memory is taken before it is allocated, as the body arrives, and given back on every way out. Bodies over 64 KB leave a quarter of it to small ones. Garbage is collected more often from five eighths of the process's memory on.

--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/apex/log"
@@ -17,9 +18,16 @@
 	"github.com/urfave/cli/v2"
 )
 
-// bodyMemoryDivisor limits request bodies to a fraction of the process's
-// memory, because each body is copied once or twice while it is forwarded.
-const bodyMemoryDivisor = 8
+const (
+	// bodyMemoryDivisor limits request bodies to a fraction of the process's
+	// memory, because each body is copied once or twice while it is forwarded.
+	bodyMemoryDivisor = 4
+	// heapNum / heapDen is the fraction of the process's memory from which on
+	// garbage is collected more often. The rest is for stacks, buffers of the
+	// system and what is allocated during a collection.
+	heapNum = 5
+	heapDen = 8
+)
 
 var boundsFlag = &cli.StringFlag{Name: "bounds", Usage: "bounds of the deployment as the platform states them, such as Grace=6s,Drain=2000ms"}
 
@@ -58,6 +66,7 @@
 		if err != nil {
 			return err
 		}
+		limitHeap(s)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		load := func() (settings.Sidecar, error) { return loadSidecar(path, bounds) }
@@ -105,6 +114,10 @@
 	}
 }
 
+// limitHeap keeps garbage within the process's memory. By default the heap doubles
+// before it is collected, which a burst of large bodies does not leave room for.
+func limitHeap(s settings.Sidecar) { debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * heapNum / heapDen) }
+
 // reloadOnSIGHUP reloads the settings on each signal of hup. An invalid file leaves the
 // current settings in effect; changes that need a restart are logged as such.
 func reloadOnSIGHUP(ctx context.Context, hup <-chan os.Signal, load func() (settings.Sidecar, error), s settings.Sidecar, n *sidecar.Node, lg log.Interface) {
@@ -121,6 +134,7 @@
 		}
 		if tuning(next) != tuning(s) {
 			n.Tune(tuning(next))
+			limitHeap(next)
 		}
 		lg.WithField("needs_restart", !reflect.DeepEqual(withoutTuning(next), withoutTuning(s))).Info("settings_reloaded")
 		s = next
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -29,6 +29,7 @@
 // request is a caller's request in progress.
 type request struct {
 	call.Request
+	body       bodyBuffer // of Request.Body
 	route      *directory.Route
 	deadline   time.Time
 	received   time.Time
@@ -65,8 +66,8 @@
 // reads: one that does not read would leave no memory for others.
 func (n *Node) forwardAndRelease(ctx context.Context, q *request) call.Answer {
 	defer func() {
-		n.heldBodyBytes.Add(-int64(len(q.Body)))
 		q.Body = nil
+		q.body.release()
 	}()
 	return n.forward(ctx, q)
 }
@@ -146,8 +147,8 @@
 		refused.account = origin.account
 		return nil, refused
 	}
-	q := &request{route: rt, received: received, deadline: received.Add(timeout), account: origin.account, rank: origin.rank}
-	q.Request = call.Request{ID: id, Service: rt.PickService(n.draw()), Operation: rt.Name, Body: body, HTTP: n.targetRequest(r, routes, rt, origin)}
+	q := &request{body: body, route: rt, received: received, deadline: received.Add(timeout), account: origin.account, rank: origin.rank}
+	q.Request = call.Request{ID: id, Service: rt.PickService(n.draw()), Operation: rt.Name, Body: body.buf, HTTP: n.targetRequest(r, routes, rt, origin)}
 	q.quarantine = n.quarantineStateOf(&q.Request)
 	if !origin.child {
 		q.queueDeadline = received.Add(n.queueWait(n.requestTimes(rt, timeout)))
--- a/sidecar/mesh_test.go
+++ b/sidecar/mesh_test.go
@@ -268,6 +268,33 @@
 	}
 }
 
+// withBodyLimit returns the test routes with a limit of bodies.
+func (m *mesh) withBodyLimit(bytes int64) []directory.Change {
+	r, err := directory.NewRoutes(2, directory.Limits{BodyBytes: bytes}, testRoutes)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return []directory.Change{{Routes: r}}
+}
+
+// upload sends a body in chunks to v's node and returns the status, 0 without an
+// answer.
+func (m *mesh) upload(v *vm, body io.Reader) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+v.node.cfg.CallerAddr+"/read/x", body)
+	if err != nil {
+		m.t.Error(err)
+		return 0
+	}
+	req.Host = "h"
+	req.Header.Set("Request-Id", "req"+strconv.FormatInt(m.ids.Add(1), 10))
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
 // stop stops all nodes, without draining, and all targets.
 func (m *mesh) stop() {
 	for _, v := range m.vms {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -125,7 +125,7 @@
 
 		draws          atomic.Uint64 // sequence number of the last draw
 		tuning         atomic.Pointer[Tuning]
-		heldBodyBytes  atomic.Int64 // size of the request bodies in memory
+		held           heldBytes    // request bodies
 		activeRequests atomic.Int64 // requests from callers in progress
 		catchingUp     atomic.Bool  // a catch-up from a peer is in progress
 		lastVouch      atomic.Bool  // last result of vouching for the local instance
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -42,6 +42,13 @@
 		a.Leaving = true
 		return a
 	}
+	limit := n.tuning.Load().MaxHeldBodyBytes
+	if size := len(r.Body); size > 0 {
+		if !n.held.take(int64(size), limit) {
+			return call.Refuse(r, errNoMemory.Error(), 0)
+		}
+		defer n.held.give(size)
+	}
 	return n.serveLocal(ctx, r)
 }
 
