Allow callers more time for a header than any deployment does

Callers would see, on a deployment that allows 6 s for a header: a closed connection after 5 s.

Cause: the time was a constant just above what the known deployments allow (3 s). Before: TestSlowHeaderIsRead, a header sent in 5.4 of 6 s, ends with "unexpected EOF".

--- a/sidecar/forward_test.go
+++ b/sidecar/forward_test.go
@@ -218,3 +218,23 @@
 		So(m.vms[0].target.runCount("half"), ShouldEqual, 0)
 	})
 }
+
+// Guards against callers that are cut although they send their headers within the
+// time that the deployment allows, because the node allows a fixed time.
+func TestSlowHeaderIsRead(t *testing.T) {
+	const allowed = 6 * time.Second // twice what known deployments allow
+	m := newMesh(t, "archiv")
+	Convey("A header that takes most of the allowed time is read", t, func() {
+		c, err := net.Dial("tcp", m.vms[0].node.cfg.CallerAddr)
+		So(err, ShouldBeNil)
+		defer c.Close()
+		_, err = io.WriteString(c, "GET /read/x HTTP/1.1\r\nHost: h\r\n")
+		So(err, ShouldBeNil)
+		time.Sleep(allowed * 9 / 10)
+		_, err = io.WriteString(c, "Request-Id: slow\r\n\r\n")
+		So(err, ShouldBeNil)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		So(err, ShouldBeNil)
+		So(resp.StatusCode, ShouldEqual, http.StatusOK)
+	})
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -30,8 +30,9 @@
 	// initialSlots is the slot limit of a target that is not in the directory
 	// yet.
 	initialSlots = 16
-	// headerTimeout bounds the time to read a request's header.
-	headerTimeout = 5 * time.Second
+	// headerTimeout bounds the time to read a request's header. It exceeds what
+	// deployments allow callers, so that none that stays within it is cut.
+	headerTimeout = 30 * time.Second
 	// idleTimeout closes idle caller connections. It exceeds the idle
 	// timeouts of callers so that they never reuse a connection that is being
 	// closed here.
