--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -25,6 +25,7 @@
 	// shutdownSlack allows for a slow machine on top of shutdownGrace.
 	shutdownSlack = 3 * time.Second
 	slots         = 20
+	memoryMB      = 128 // of a node
 	// dumpTimeout is how long a node may take to write its goroutines.
 	dumpTimeout = 5 * time.Second
 	// restartDelay is the time from the crash of a target to its replacement.
@@ -34,6 +35,7 @@
 type (
 	// deployment is a simulated store and several nodes, each with a target.
 	deployment struct {
+		limits
 		t     *testing.T
 		bin   string
 		dir   string // settings and logs of the nodes
@@ -51,6 +53,12 @@
 		restarts      sync.WaitGroup // pending replacements of crashed targets
 	}
 
+	// limits are the limits of a deployment.
+	limits struct {
+		bodyBytes   int64 // of a request's body
+		descriptors int   // of a node; 0 for that of the test
+	}
+
 	// vm is a node process with its target and the proxies on its links.
 	vm struct {
 		n               int // number of the node, from 1
@@ -81,7 +89,12 @@
 // startDeployment starts six nodes of two services in two data centres, and the
 // callers.
 func startDeployment(t *testing.T, bin string, seed uint64) *deployment {
-	d := &deployment{t: t, bin: bin, store: platform.NewFakeStore()}
+	return startLimitedDeployment(t, bin, seed, limits{bodyBytes: 1 << 16})
+}
+
+// startLimitedDeployment is startDeployment with other limits.
+func startLimitedDeployment(t *testing.T, bin string, seed uint64, l limits) *deployment {
+	d := &deployment{limits: l, t: t, bin: bin, store: platform.NewFakeStore()}
 	var err error
 	d.dir, err = os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	d.must(err)
@@ -89,16 +102,16 @@
 	for _, port := range []*int{&d.ports.peer, &d.ports.target, &d.ports.callers, &d.ports.ready, &d.ports.metrics, &d.ports.store} {
 		*port = freePort(t)
 	}
-	l, err := net.Listen("tcp", addr(0, 0, d.ports.store))
+	listener, err := net.Listen("tcp", addr(0, 0, d.ports.store))
 	d.must(err)
 	d.srv = &http.Server{Handler: d.store}
-	go d.srv.Serve(l)
+	go d.srv.Serve(listener)
 	d.publishRoutes()
 	for n := range 6 {
 		v := &vm{n: n + 1, service: []string{"archiv", "versand"}[n%2], dc: callgraph.DC([]string{"nord", "sued"}[n/3]), disruptions: &intervals{}, outages: &intervals{}}
 		v.peerProxy, err = NewProxy(addr(1, v.n, d.ports.peer), addr(2, v.n, d.ports.peer))
 		d.must(err)
-		v.storeProxy, err = NewProxy(addr(3, v.n, d.ports.store), l.Addr().String())
+		v.storeProxy, err = NewProxy(addr(3, v.n, d.ports.store), listener.Addr().String())
 		d.must(err)
 		d.replaceTarget(v)
 		d.startNode(v)
@@ -138,15 +151,18 @@
 
 // startNode writes the settings of a node and starts its process.
 func (d *deployment) startNode(v *vm) {
-	text := fmt.Sprintf("[sidecar]\nname=node-%d\ndc=%s\nservice=%s\ntarget=%s\ncallers=%s\npeer=%s\nready=%s\nmetrics=%s\nstore=%s\nmemory_mb=128\ngrace=%s\n",
+	text := fmt.Sprintf("[sidecar]\nname=node-%d\ndc=%s\nservice=%s\ntarget=%s\ncallers=%s\npeer=%s\nready=%s\nmetrics=%s\nstore=%s\nmemory_mb=%d\ngrace=%s\n",
 		v.n, v.dc, v.service, v.instance.Addr, d.callerAddr(v), addr(2, v.n, d.ports.peer), addr(2, v.n, d.ports.ready),
-		addr(2, v.n, d.ports.metrics), addr(3, v.n, d.ports.store), shutdownGrace)
+		addr(2, v.n, d.ports.metrics), addr(3, v.n, d.ports.store), memoryMB, shutdownGrace)
 	path := filepath.Join(d.dir, fmt.Sprintf("node-%d.ini", v.n))
 	d.must(os.WriteFile(path, []byte(text), 0o644))
 	logs, err := os.OpenFile(filepath.Join(d.dir, fmt.Sprintf("node-%d.jsonl", v.n)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	d.must(err)
 	defer logs.Close()
 	v.cmd = exec.Command(d.bin, "sidecar", "-s", path)
+	if d.descriptors > 0 {
+		v.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, d.descriptors), d.bin, "sidecar", "-s", path)
+	}
 	v.cmd.Stdout, v.cmd.Stderr = logs, logs
 	d.must(v.cmd.Start())
 }
@@ -220,7 +236,7 @@
 		return directory.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent, MaxInstances: maxInstances, Timeout: timeout,
 			TargetLatency: 300 * time.Millisecond, Priority: priority, Shares: []directory.Share{{Service: service, Weight: 1}}}
 	}
-	d.must(d.store.PutRoutes(d.routesVersion, directory.Limits{BodyBytes: 1 << 16, IdleTimeout: 15 * time.Second},
+	d.must(d.store.PutRoutes(d.routesVersion, directory.Limits{BodyBytes: d.bodyBytes, IdleTimeout: 15 * time.Second},
 		append(further, newRoute("read", "archiv", true, 2), newRoute("publish", "versand", false, 0))))
 }
 
--- a/soak/replace_test.go
+++ b/soak/replace_test.go
@@ -24,7 +24,7 @@
 func TestNodesAnswerWhileInstancesAreReplaced(t *testing.T) {
 	bin := buildBinary(t)
 	Convey("Every node answers after all instances were replaced over and over", t, func() {
-		withDeployment(t, bin, replacementSeed, func(d *deployment) {
+		withDeployment(t, startDeployment(t, bin, replacementSeed), func(d *deployment) {
 			d.listOtherInstances()
 			d.replaceTargets(replacementTime)
 			time.Sleep(recoveryTime)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -36,6 +38,8 @@
 	// the whole run.
 	poisonRequests    = 12
 	maxFurtherCrashes = 3
+	// firstSeries is the stream of random numbers of the first further series.
+	firstSeries = 16
 )
 
 // Guards against duplicate execution of non-idempotent requests, execution of
@@ -79,30 +83,41 @@
 // and targets observed.
 func checkInvariants(t *testing.T, bin string, seed uint64, period time.Duration) {
 	Convey(fmt.Sprintf("Seed %d", seed), t, func() {
-		withDeployment(t, bin, seed, func(d *deployment) {
-			d.injectFaults(seed, period)
-			time.Sleep(recoveryTime)
-			recovered := time.Now()
-			successRate := d.successRate(observationTime)
-			unused := d.unusedTargets(recovered)
-			unheard := d.changesLostInRestore()
-			furtherCrashes := d.sendPoisonAfterRecovery()
-			d.stopCallers()
-			d.restarts.Wait()
-			So(unheard, ShouldBeEmpty)
-			So(unused, ShouldBeEmpty)
-			So(d.violations(), ShouldBeEmpty)
-			So(successRate, ShouldBeGreaterThan, minSuccessRate)
-			So(furtherCrashes, ShouldBeLessThanOrEqualTo, maxFurtherCrashes)
-			t.Logf("seed %d: %s; %d targets crashed by the poison request, %d of them after recovery", seed, d.statusCounts(), d.crashCount(), furtherCrashes)
+		withDeployment(t, startDeployment(t, bin, seed), func(d *deployment) {
+			d.checkUnderFaults(seed, period)
 		})
 	})
 }
 
-// withDeployment calls f with a deployment that serves. If f does not return,
-// because a check failed, the nodes write their goroutines and the logs are kept.
-func withDeployment(t *testing.T, bin string, seed uint64, f func(*deployment)) {
-	d := startDeployment(t, bin, seed)
+// checkUnderFaults injects faults for a period and checks what callers and targets
+// observed. Each of series runs beside them.
+func (d *deployment) checkUnderFaults(seed uint64, period time.Duration, series ...func(*rand.Rand, time.Duration)) {
+	var wg sync.WaitGroup
+	for i, f := range series {
+		wg.Go(func() { f(rand.New(rand.NewPCG(seed, firstSeries+uint64(i))), period) })
+	}
+	d.injectFaults(seed, period)
+	wg.Wait()
+	time.Sleep(recoveryTime)
+	recovered := time.Now()
+	successRate := d.successRate(observationTime)
+	unused := d.unusedTargets(recovered)
+	unheard := d.changesLostInRestore()
+	furtherCrashes := d.sendPoisonAfterRecovery()
+	d.stopCallers()
+	d.restarts.Wait()
+	So(unheard, ShouldBeEmpty)
+	So(unused, ShouldBeEmpty)
+	So(d.violations(), ShouldBeEmpty)
+	So(successRate, ShouldBeGreaterThan, minSuccessRate)
+	So(furtherCrashes, ShouldBeLessThanOrEqualTo, maxFurtherCrashes)
+	d.t.Logf("seed %d: %s; %d targets crashed by the poison request, %d of them after recovery", seed, d.statusCounts(), d.crashCount(), furtherCrashes)
+}
+
+// withDeployment calls f once the deployment serves, and stops it. If f does not
+// return, because a check failed, the nodes write their goroutines and the logs are
+// kept.
+func withDeployment(t *testing.T, d *deployment, f func(*deployment)) {
 	passed := false
 	defer func() { d.keepLogsUnless(passed) }()
 	defer d.stop()
--- a/soak/unlisted_run_test.go
+++ b/soak/unlisted_run_test.go
@@ -22,7 +22,7 @@
 	for i := range *seedsFlag {
 		seed := first + uint64(i)
 		Convey(fmt.Sprintf("No target gets requests against what it stated before it was listed, seed %d", seed), t, func() {
-			withDeployment(t, bin, seed, func(d *deployment) {
+			withDeployment(t, startDeployment(t, bin, seed), func(d *deployment) {
 				d.restartTargetsUnlisted(seed, unlistedRunTime)
 				time.Sleep(recoveryTime)
 				d.stopCallers()
