--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -64,13 +64,15 @@
 // may be cut is refused, because nobody would know whether it ran, unless it is
 // idempotent and the caller could not know yet that the node is leaving.
 func (p drainPolicy) acceptsNew(since, remaining time.Duration, idempotent bool) bool {
-	if p.grace > 0 && since > p.grace*refuseNewNum/refuseNewDen {
+	switch {
+	case p.grace <= 0:
+		return since <= noticePeriod
+	case since > p.grace*refuseNewNum/refuseNewDen:
 		return false
+	case p.endsInTime(since, remaining):
+		return true
 	}
-	if p.grace <= 0 || !p.endsInTime(since, remaining) {
-		return since <= noticePeriod && (idempotent || p.grace <= 0)
-	}
-	return true
+	return idempotent && since <= noticePeriod
 }
 
 // acceptsPeer reports whether a request from another node is accepted until
