Compute a bucket's capacity in one place, and record a deadline once

Read again as a whole, the change passed a capacity beside the account from which it follows to each call of restrict, recorded the deadline of a local request twice (when it is accepted, and when it is served), and a soak built its seeds beside the function that does.

restrict is the limiter's now and computes the capacity itself; the deadline of a request from another node is recorded where it arrives, that of a caller's where it is accepted; the soak takes the seeds from seedsToRun. Behaviour and tests stay as they are.

--- a/account/limiter.go
+++ b/account/limiter.go
@@ -76,7 +76,7 @@
 	b := l.bucket(a, now)
 	b.refill(now)
 	if b.unrestricted && now.Sub(b.quotaAt) > quotaTTL {
-		b.restrict(a, b.share, l.tolerance.capacity(a), demandSlack)
+		l.restrict(b, a, b.share, demandSlack)
 	}
 	b.requested++
 	if b.tokens > 0 {
@@ -106,9 +106,10 @@
 func (l *Limiter) bucket(a *Account, now time.Time) *bucket {
 	b := l.buckets[a.Name]
 	if b == nil {
-		b = &bucket{tokens: l.tolerance.capacity(a), refilledAt: now, rate: a.Rate, capacity: l.tolerance.capacity(a)}
+		capacity := l.tolerance.capacity(a)
+		b = &bucket{tokens: capacity, refilledAt: now, rate: a.Rate, capacity: capacity}
 		if l.fallback {
-			b.restrict(a, 1/float64(l.nodes), l.tolerance.capacity(a), fallbackTokens)
+			l.restrict(b, a, 1/float64(l.nodes), fallbackTokens)
 		}
 		l.buckets[a.Name] = b
 	}
@@ -224,16 +225,16 @@
 	for name, b := range l.buckets {
 		if a := registry.ByName(name); a != nil {
 			b.refill(now)
-			b.restrict(a, max(b.share, 1/float64(l.nodes)), l.tolerance.capacity(a), fallbackTokens)
+			l.restrict(b, a, max(b.share, 1/float64(l.nodes)), fallbackTokens)
 		}
 	}
 }
 
-// restrict limits the bucket to a share of the account's rate and capacity, with
+// restrict limits the account's bucket to a share of its rate and capacity, with
 // at least minTokens.
-func (b *bucket) restrict(a *Account, share, capacity, minTokens float64) {
+func (l *Limiter) restrict(b *bucket, a *Account, share, minTokens float64) {
 	b.unrestricted, b.rate = false, a.Rate*share
-	b.capacity = max(capacity*share, minTokens)
+	b.capacity = max(l.tolerance.capacity(a)*share, minTokens)
 	b.tokens = min(b.tokens, b.capacity)
 }
 
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -49,6 +49,7 @@
 		}
 		defer n.held.give(size)
 	}
+	n.deadlines.record(time.Now().Add(r.Remaining))
 	return n.serveLocal(ctx, r)
 }
 
@@ -71,7 +72,6 @@
 // serveLocal serves a request by the local target within the time it has
 // left. ctx ends when the caller disconnects.
 func (n *Node) serveLocal(ctx context.Context, r call.Request) call.Answer {
-	n.deadlines.record(time.Now().Add(r.Remaining))
 	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
 	defer cancel()
 	return n.serveTarget(ctx, r)
--- a/soak/unlisted_run_test.go
+++ b/soak/unlisted_run_test.go
@@ -18,9 +18,7 @@
 // run, also where nodes restart in between.
 func TestStatementsOfUnlistedRunsHold(t *testing.T) {
 	bin := buildBinary(t)
-	first := max(*seedFlag, 1)
-	for i := range *seedsFlag {
-		seed := first + uint64(i)
+	for _, seed := range seedsToRun(nil) {
 		Convey(fmt.Sprintf("No target gets requests against what it stated before it was listed, seed %d", seed), t, func() {
 			withDeployment(t, startDeployment(t, bin, seed), func(d *deployment) {
 				d.restartTargetsUnlisted(seed, unlistedRunTime)
