--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -30,6 +30,8 @@
 		store  *store
 		nodes  []*node
 		server *http.Server
+		// seedless leaves the seeds of the settings empty.
+		seedless bool
 	}
 
 	ports struct{ app, callers, control, ready, peer, metrics, store int }
@@ -112,11 +114,15 @@
 // settings are the template of the deploy file, filled in.
 func (f *fleet) start(n *node) error {
 	var seeds []string
-	for _, s := range f.nodes[:min(3, len(f.nodes))] {
-		seeds = append(seeds, s.at(f.ports.control))
+	control := ""
+	if !f.seedless {
+		control = n.at(f.ports.control)
+		for _, s := range f.nodes[:min(3, len(f.nodes))] {
+			seeds = append(seeds, s.at(f.ports.control))
+		}
 	}
 	text := fmt.Sprintf("[sidecar]\nname = %s\ndc = %s\nservice = %s\ntarget = %s\ncallers = %s\ncontrol = %s\nseeds = %s\nready = %s\npeer = %s\nmetrics = %s\nstore = %s\nmemory_mb = %d\n",
-		n.name, n.zone, n.in.service, n.in.addr, n.at(f.ports.callers), n.at(f.ports.control), strings.Join(seeds, ","),
+		n.name, n.zone, n.in.service, n.in.addr, n.at(f.ports.callers), control, strings.Join(seeds, ","),
 		n.at(f.ports.ready), n.at(f.ports.peer), n.at(f.ports.metrics), f.storeAddr(), memoryMB)
 	path := filepath.Join(f.dir, n.name+".ini")
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,7 +19,8 @@
 
 // scenarios are the cases by name. Each returns whether the rule was broken.
 var scenarios = map[string]func(f *fleet, trouble bool) (broken bool, err error){
-	"stale": stale,
+	"stale":    stale,
+	"restored": restored,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -26,6 +27,9 @@
 		history []event
 		delay   time.Duration // mean
 		muted   bool          // watches hear nothing
+		away    bool          // all calls are refused
+		era     int           // rises when the store comes back from a copy
+		copied  *copied       // nil for none
 		changed chan struct{} // closed on a change of the state
 		cut     chan struct{} // closed to break off the watches that wait
 	}
@@ -43,6 +47,12 @@
 		Deleted bool `json:",omitempty"`
 	}
 
+	// copied is the state of the store at an earlier time.
+	copied struct {
+		rev   int64
+		items map[string]entry
+	}
+
 	keyAnswer struct {
 		entry
 		CurrentRev int64
@@ -110,12 +120,47 @@
 	s.wake()
 }
 
+// copyState takes the copy from which the store comes back.
+func (s *store) copyState() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = &copied{rev: s.rev, items: maps.Clone(s.items)}
+}
+
+// goAway refuses all calls and breaks off the watches that wait.
+func (s *store) goAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+// comeBack answers again, from the copy and in a new era. Watches from a
+// revision that the copy does not have are answered with 410.
+func (s *store) comeBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away, s.rev, s.items, s.oldest, s.history = false, s.copied.rev, maps.Clone(s.copied.items), s.copied.rev, nil
+	s.era++
+}
+
 func (s *store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	away := s.away
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	}
+	s.mu.Unlock()
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case "/oatpin/kv-key":
@@ -170,7 +215,7 @@
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		a, gone, d, changed := s.since(q.Get("Prefix"), after), after < s.oldest, s.drawDelay(), s.changed
+		a, gone, d, changed := s.since(q.Get("Prefix"), after), after < s.oldest || after > s.rev, s.drawDelay(), s.changed
 		s.mu.Unlock()
 		if gone {
 			time.Sleep(d)
