Show a node that holds an older configuration than the nodes it asks

Each answer to a poll states the version that its sender holds, whether or not it contains the routes. A node that has been told of a newer version for two seconds without getting it logs routes_behind once, and oatpin_routes_version_newest says which. No decision changes. In the incident nothing distinguished a follower that was passed over from readers that lack a version.

--- a/directory/codec.go
+++ b/directory/codec.go
@@ -26,6 +26,9 @@
 		// routes that need no account.
 		Accounted bool                          `msgpack:"accounted,omitempty"`
 		Accounts  message.List[account.Account] `msgpack:"accounts,omitempty"`
+		// HeldVersion is the version of the routes that the sender holds, included or
+		// not.
+		HeldVersion callgraph.Version `msgpack:"held_version,omitempty"`
 	}
 
 	// wireInstance is the msgpack form of an Instance. It is an array, so the
@@ -48,7 +51,7 @@
 
 // Encode returns the msgpack form of a delta.
 func Encode(x Delta) ([]byte, error) {
-	e := wireDelta{After: x.After, Revision: x.Revision, Age: x.Age, Removed: x.Removed}
+	e := wireDelta{After: x.After, Revision: x.Revision, Age: x.Age, Removed: x.Removed, HeldVersion: x.RoutesVersion}
 	for _, in := range x.Instances {
 		e.Instances = append(e.Instances, wireInstance{ID: in.ID, Started: in.Started, Service: in.Service, DC: in.DC, Addr: in.Addr,
 			Slots: in.Slots, Leaving: in.Leaving, ColdUntil: in.ColdUntil, FirstRevision: in.FirstRevision, Revision: in.Revision})
@@ -73,7 +76,7 @@
 	if err := msgpack.Unmarshal(b, &e); err != nil {
 		return Delta{}, eris.Wrap(err, "decode delta")
 	}
-	x := Delta{After: e.After, Removed: e.Removed, Age: e.Age, Snapshot: Snapshot{Revision: e.Revision}}
+	x := Delta{After: e.After, Removed: e.Removed, Age: e.Age, RoutesVersion: e.HeldVersion, Snapshot: Snapshot{Revision: e.Revision}}
 	for _, in := range e.Instances {
 		x.Instances = append(x.Instances, Instance{ID: in.ID, Started: in.Started, Service: in.Service, DC: in.DC, Addr: in.Addr,
 			Slots: in.Slots, Leaving: in.Leaving, ColdUntil: in.ColdUntil, FirstRevision: in.FirstRevision, Revision: in.Revision})
--- a/directory/delta.go
+++ b/directory/delta.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/oatpin/oatpin/callgraph"
 )
 
 // maxRemovals is how many removals are kept for deltas to other nodes. A node
@@ -24,6 +26,10 @@
 		After   Revision // 0 if Snapshot is complete; entries missing from it were removed
 		Removed []Removal
 		Age     time.Duration // upper bound for the age of the state
+		// RoutesVersion is the version of the routes that the sending node holds,
+		// also if they are not included; 0 for none or not stated, as by nodes of the
+		// former version.
+		RoutesVersion callgraph.Version
 	}
 
 	// removedEntry is the removal of an entry and what was known of its
@@ -75,7 +81,7 @@
 }
 
 func (d *Directory) sinceLocked(after Revision) Delta {
-	x := Delta{Snapshot: Snapshot{Revision: d.revision}, Age: d.source.age(time.Now())}
+	x := Delta{Snapshot: Snapshot{Revision: d.revision}, Age: d.source.age(time.Now()), RoutesVersion: d.routesVersion()}
 	if after >= d.removals.completeAfter && after <= d.revision {
 		x.After = after
 	}
@@ -131,6 +137,12 @@
 func (d *Directory) ApplyDelta(x Delta) bool {
 	d.mu.Lock()
 	defer d.unlock()
+	applied := d.applyDeltaLocked(x)
+	d.lag.record(x.RoutesVersion, d.routesVersion(), time.Now())
+	return applied
+}
+
+func (d *Directory) applyDeltaLocked(x Delta) bool {
 	if x.After > d.revision {
 		return false // applying it would skip the changes in between
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -76,6 +76,7 @@
 		statedLeavings statedLeavings
 		removals       removals
 		source         sourceStatus
+		lag            versionLag
 		graceEnds      time.Time     // end of the grace period after an outage
 		hasSnapshot    bool          // a snapshot has been applied
 		revision       Revision      // everything up to it is known
--- a/directory/unlisted.go
+++ b/directory/unlisted.go
@@ -47,14 +47,16 @@
 }
 
 // ExpireUnlisted drops the unlisted instances whose grace period or
-// confirmation has expired, and ends doubts about listed ones and what is inferred
-// from statements of runs that were not listed. It is safe for concurrent use.
+// confirmation has expired, ends doubts about listed ones and what is inferred
+// from statements of runs that were not listed, and logs if the routes have become
+// older than another node's. It is safe for concurrent use.
 func (d *Directory) ExpireUnlisted() {
 	d.mu.Lock()
 	defer d.unlock()
 	now := time.Now()
 	changed := d.expireDoubts(now)
 	changed = d.expireStatedLeavings() || changed
+	d.lag.check(d.routesVersion(), now, d.log)
 	for id, u := range d.unlisted {
 		if !now.Before(u.until) {
 			d.drop(id, "not listed or confirmed in time")
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -183,6 +183,7 @@
 	gauge("oatpin_target_slow", n.slowdown.Slowdown)
 	gauge("oatpin_admitted_level", func() float64 { return float64(n.meter.Threshold()) })
 	gauge("oatpin_routes_version", func() float64 { return float64(n.routesVersion()) })
+	gauge("oatpin_routes_version_newest", func() float64 { return float64(n.dir.NewestVersion()) })
 	gauge("oatpin_source_era", func() float64 { return float64(n.dir.Revision().Era()) })
 	gauge("oatpin_directory_revision", func() float64 { return float64(n.dir.Revision().Counter()) })
 	gauge("oatpin_instances_unlisted", func() float64 { return float64(n.dir.View().UnlistedCount()) })
