--- a/sidecar/restore_test.go
+++ b/sidecar/restore_test.go
@@ -78,11 +78,14 @@
 	m.t.Fatalf("not all nodes have version %d", v)
 }
 
-// follower returns a VM of a service whose node does not read the store.
+// follower returns a VM of a service whose node does not read the store. Just
+// after the start all nodes do.
 func (m *storedMesh) follower(service string) *vm {
-	for _, v := range m.vms {
-		if v.self.Service == service && !v.node.syncer.IsReader() {
-			return v
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		for _, v := range m.vms {
+			if v.self.Service == service && !v.node.syncer.IsReader() {
+				return v
+			}
 		}
 	}
 	m.t.Fatalf("all nodes of %s read the store", service)
