Ask and tell of routes by their version, not by the revision

Cause: one number, the revision of the instance list, stood for what a node knows of the instances and of the routes. A reader loads the two one after the other, so it may hold a version that is newer than its revision; a restored store lists a version at another revision. A follower at the reader's revision was told the next revision without the routes and never asked again.

A configuration has an order of its own. A node states the version that it holds with its question, gets the routes if the other's version is newer, whatever the revisions are, and takes them over by version alone, also from a delta that is older or starts beyond its revision. routesRevision is gone, so nothing is left to be noted wrongly. Weighed and left: raising routesRevision whenever the same version is seen again; a follower that got a version before another wrote it again would not raise it, and would hide it from the next.

The recorded question of the version before is still read, and written but for one more field, which that version skips.

--- a/directory/delta.go
+++ b/directory/delta.go
@@ -19,8 +19,20 @@
 		At Revision
 	}
 
+	// Position is what a node holds: the entries and removals up to a revision, and
+	// a version of the routes. The two are independent. A reader reads them one after
+	// the other, so no revision tells which version it has, and a restored source
+	// lists a version that nodes hold already at another revision.
+	Position struct {
+		Revision Revision
+		// Routes is the version of the routes; 0 for none, or from a node of the former
+		// version, which does not state it.
+		Routes callgraph.Version
+	}
+
 	// Delta is the difference between the state at revision After and the state
-	// that the sending node holds.
+	// that the sending node holds. It contains the routes if they are newer than
+	// those of the node that asked.
 	Delta struct {
 		Snapshot
 		After   Revision // 0 if Snapshot is complete; entries missing from it were removed
@@ -71,17 +83,28 @@
 	delete(r.latest, oldest)
 }
 
-// Since returns what is known here beyond a revision, for another node.
-// Unlisted instances are omitted: each node decides by itself whether to keep
-// them. It is safe for concurrent use.
-func (d *Directory) Since(after Revision) Delta {
+// Position returns what this node holds. It is safe for concurrent use.
+func (d *Directory) Position() Position {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Position{Revision: d.revision, Routes: d.routesVersion()}
+}
+
+// Since returns what is known here beyond a position, for another node. Unlisted
+// instances are omitted: each node decides by itself whether to keep them. It is
+// safe for concurrent use.
+func (d *Directory) Since(p Position) Delta {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.sinceLocked(after)
+	return d.sinceLocked(p)
 }
 
-func (d *Directory) sinceLocked(after Revision) Delta {
+func (d *Directory) sinceLocked(p Position) Delta {
+	after := p.Revision
 	x := Delta{Snapshot: Snapshot{Revision: d.revision}, Age: d.source.age(time.Now()), RoutesVersion: d.routesVersion()}
+	if x.RoutesVersion > p.Routes {
+		x.Routes = d.routes
+	}
 	if after >= d.removals.completeAfter && after <= d.revision {
 		x.After = after
 	}
@@ -89,9 +112,6 @@
 		x.After = d.revision // the other node is ahead
 		return x
 	}
-	if x.After == 0 || d.routesRevision > x.After {
-		x.Routes = d.routes
-	}
 	for id, in := range d.instances {
 		if _, ok := d.unlisted[id]; !ok && (x.After == 0 || in.Revision > x.After) {
 			x.Instances = append(x.Instances, in)
@@ -108,41 +128,49 @@
 	return x
 }
 
-// Await is like Since, but waits until something beyond the revision is known,
-// wait has passed or ctx ends.
-func (d *Directory) Await(ctx context.Context, after Revision, wait time.Duration) Delta {
+// Await is like Since, but waits until something beyond the position is known,
+// wait has passed or ctx ends. Without a version of the routes in the position only
+// a revision ends the wait: nodes that do not state theirs would ask without pause.
+func (d *Directory) Await(ctx context.Context, p Position, wait time.Duration) Delta {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
 		d.mu.Lock()
-		if d.hasSnapshot && d.revision > after {
+		newerRoutes := p.Routes > 0 && d.routesVersion() > p.Routes
+		if d.hasSnapshot && (d.revision > p.Revision || newerRoutes) {
 			defer d.mu.Unlock()
-			return d.sinceLocked(after)
+			return d.sinceLocked(p)
 		}
 		advanced := d.advanced
 		d.mu.Unlock()
 		select {
 		case <-advanced:
 		case <-t.C:
-			return d.Since(after)
+			return d.Since(p)
 		case <-ctx.Done():
-			return d.Since(after)
+			return d.Since(p)
 		}
 	}
 }
 
-// ApplyDelta applies a delta from another node if it is newer than the state
-// held here, and reports whether it was. A watch in progress is restarted from
-// the new revision. It is safe for concurrent use.
+// ApplyDelta applies what is newer in a delta from another node than the state
+// held here, and reports whether anything was. If the revision advances, a watch in
+// progress is restarted from there. It is safe for concurrent use.
 func (d *Directory) ApplyDelta(x Delta) bool {
 	d.mu.Lock()
 	defer d.unlock()
-	applied := d.applyDeltaLocked(x)
+	newRoutes := d.setRoutes(x.Routes)
+	applied := d.applyEntriesLocked(x)
+	if newRoutes {
+		d.publish()
+	}
 	d.lag.record(x.RoutesVersion, d.routesVersion(), time.Now())
-	return applied
+	return applied || newRoutes
 }
 
-func (d *Directory) applyDeltaLocked(x Delta) bool {
+// applyEntriesLocked applies the entries and removals of a delta if its revision is
+// newer, and reports whether it was.
+func (d *Directory) applyEntriesLocked(x Delta) bool {
 	if x.After > d.revision {
 		return false // applying it would skip the changes in between
 	}
@@ -162,12 +190,9 @@
 	return true
 }
 
-// changes returns the contents of a delta as changes of a source.
+// changes returns the entries and removals of a delta as changes of a source.
 func (x *Delta) changes() []Change {
-	cs := make([]Change, 0, len(x.Instances)+len(x.Removed)+1)
-	if x.Routes != nil {
-		cs = append(cs, Change{Routes: x.Routes})
-	}
+	cs := make([]Change, 0, len(x.Instances)+len(x.Removed))
 	for _, removal := range x.Removed {
 		cs = append(cs, Change{Removed: removal.ID, RemovedAt: removal.At})
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -79,11 +79,10 @@
 		lag            versionLag
 		graceEnds      time.Time     // end of the grace period after an outage
 		hasSnapshot    bool          // a snapshot has been applied
-		revision       Revision      // everything up to it is known
-		routesRevision Revision      // revision at which the routes were known
+		revision       Revision      // all entries and removals up to it are known
 		invalidEntries int           // total since the start
 		deltaApplied   chan struct{} // capacity 1; signals that ApplyDelta advanced revision during a watch
-		advanced       chan struct{} // closed and replaced when revision advances
+		advanced       chan struct{} // closed and replaced when revision or the routes advance
 		callbacks      callbacks
 	}
 )
@@ -124,7 +123,7 @@
 	if d.hasSnapshot && s.Revision.Era() > d.revision.Era() {
 		d.noteRestore(s.Revision)
 	}
-	d.setRoutes(s.Routes, s.Revision)
+	d.setRoutes(s.Routes)
 	knownTo := d.revision
 	if s.Revision >= knownTo {
 		knownTo = 0 // the snapshot is not older, so its entries were not removed since
@@ -157,20 +156,24 @@
 		return
 	}
 	d.revision = to
+	d.wakeAwaits()
+}
+
+func (d *Directory) wakeAwaits() {
 	close(d.advanced)
 	d.advanced = make(chan struct{})
 }
 
-// Revision returns the revision of the source up to which everything is known.
-// It is safe for concurrent use.
+// Revision returns the revision of the source up to which all entries and removals
+// are known. It is safe for concurrent use.
 func (d *Directory) Revision() Revision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.revision
 }
 
-// Apply applies changes in order. Afterwards everything up to revision upTo is
-// known. It is safe for concurrent use.
+// Apply applies changes in order. Afterwards all entries and removals up to
+// revision upTo are known. It is safe for concurrent use.
 func (d *Directory) Apply(changes []Change, upTo Revision) {
 	d.mu.Lock()
 	defer d.unlock()
@@ -186,7 +189,7 @@
 	for _, c := range changes {
 		switch {
 		case c.Routes != nil:
-			d.setRoutes(c.Routes, upTo)
+			d.setRoutes(c.Routes)
 		case c.Instance != nil:
 			d.put(*c.Instance, knownTo)
 		case c.Removed != "":
@@ -198,14 +201,18 @@
 	d.publish()
 }
 
-// setRoutes activates routes that are newer than the current ones. A node that
-// was paused or reads a stale copy must not return to an older version.
-func (d *Directory) setRoutes(r *Routes, at Revision) {
-	if r == nil || (d.routes != nil && r.Version <= d.routes.Version) {
-		return
+// setRoutes activates routes that are newer than the current ones, and reports
+// whether they were. Their version alone decides: a node that was paused or reads
+// a stale copy must not return to an older one, and the revision at which a source
+// lists a version may change or be unknown.
+func (d *Directory) setRoutes(r *Routes) bool {
+	if r == nil || r.Version <= d.routesVersion() {
+		return false
 	}
-	d.routes, d.routesRevision = r, at
+	d.routes = r
+	d.wakeAwaits()
 	d.log.WithField("version", r.Version).Info("routes_in_force")
+	return true
 }
 
 // put applies an entry if it is newer than the one held. Of two starts under
--- a/replication/syncer.go
+++ b/replication/syncer.go
@@ -38,11 +38,10 @@
 type (
 	// Peers polls other nodes.
 	Peers interface {
-		// Since returns what the node at an address knows beyond revision
-		// after; the node may hold the call for up to wait until there is
-		// something. An error means that the node cannot be reached or knows
+		// Since returns what the node at an address knows beyond a position; the
+		// node may hold the call for up to wait until there is something. An error means that the node cannot be reached or knows
 		// nothing yet.
-		Since(ctx context.Context, at Addr, after directory.Revision, wait time.Duration) (directory.Delta, error)
+		Since(ctx context.Context, at Addr, p directory.Position, wait time.Duration) (directory.Delta, error)
 	}
 
 	// Config holds the dependencies and settings of a Syncer.
@@ -252,7 +251,7 @@
 // poll asks a node for what this one does not know and applies the answer. A
 // node that does not answer is skipped until its backoff ends.
 func (s *Syncer) poll(ctx context.Context, at Addr, wait time.Duration) {
-	delta, err := s.cfg.Peers.Since(ctx, at, s.dir.Revision(), wait)
+	delta, err := s.cfg.Peers.Since(ctx, at, s.dir.Position(), wait)
 	if ctx.Err() != nil {
 		return
 	}
@@ -291,7 +290,7 @@
 	}()
 	for i := rand.IntN(len(s.cfg.Seeds)); ctx.Err() == nil && !s.dir.HasSnapshot(); i++ {
 		at := s.cfg.Seeds[i%len(s.cfg.Seeds)]
-		delta, err := s.cfg.Peers.Since(ctx, at, 0, bootstrapTimeout)
+		delta, err := s.cfg.Peers.Since(ctx, at, directory.Position{}, bootstrapTimeout)
 		s.counters.countPeerPoll(err)
 		if err != nil {
 			directory.Pause(ctx, bootstrapRetryDelay)
--- a/sidecar/catchup.go
+++ b/sidecar/catchup.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/directory"
 	"github.com/oatpin/oatpin/message"
 	"github.com/oatpin/oatpin/quarantine"
@@ -45,12 +46,19 @@
 	// The position up to which the sender has received the peer's quarantine
 	// records; nil from a node that keeps none.
 	Cursor *quarantine.Cursor
+	// The version of the routes that the sender holds; 0 for none, and from a node
+	// of the former version.
+	Routes callgraph.Version
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (req *deltaRequest) DecodeMsgpack(d *msgpack.Decoder) error {
 	*req = deltaRequest{}
-	return message.DecodeArray(d, (*uint64)(&req.After), &req.Wait, &req.Cursor)
+	return message.DecodeArray(d, (*uint64)(&req.After), &req.Wait, &req.Cursor, (*uint64)(&req.Routes))
+}
+
+func (req *deltaRequest) position() directory.Position {
+	return directory.Position{Revision: req.After, Routes: req.Routes}
 }
 
 // onPeerRevision handles the directory revision in a peer's response. If the
@@ -72,7 +80,7 @@
 		if directory.Revision(rev) <= from {
 			return
 		}
-		delta, err := n.Since(context.Background(), replication.Addr(p.Addr), from, 0)
+		delta, err := n.Since(context.Background(), replication.Addr(p.Addr), n.dir.Position(), 0)
 		if err != nil {
 			n.decisions.Log("catch_up_failed", func() log.Fields { return log.Fields{"peer": p.Addr, "error": err.Error()} })
 			return
@@ -84,9 +92,9 @@
 }
 
 // Since implements replication.Peers.
-func (n *Node) Since(ctx context.Context, addr replication.Addr, after directory.Revision, wait time.Duration) (directory.Delta, error) {
+func (n *Node) Since(ctx context.Context, addr replication.Addr, p directory.Position, wait time.Duration) (directory.Delta, error) {
 	var none directory.Delta
-	body, err := msgpack.Marshal(deltaRequest{After: after, Wait: wait, Cursor: n.peerCursors.get(addr)})
+	body, err := msgpack.Marshal(deltaRequest{After: p.Revision, Wait: wait, Cursor: n.peerCursors.get(addr), Routes: p.Routes})
 	if err != nil {
 		return none, eris.Wrap(err, "encode directory request")
 	}
@@ -130,7 +138,7 @@
 	if req.Cursor != nil {
 		go cancelOnUpdate(ctx, n.quarantine.Watch(*req.Cursor), cancel)
 	}
-	delta := n.dir.Await(ctx, req.After, min(req.Wait, maxPollWait))
+	delta := n.dir.Await(ctx, req.position(), min(req.Wait, maxPollWait))
 	if _, draining := n.drainingSince(); draining || !n.dir.HasSnapshot() {
 		return call.Refuse(r, errNoDirectory.Error(), 0)
 	}
