Keep up with the routes beside nodes of the version before

A node of that version neither states which routes it holds nor gives them by version, so a newer node could take over a revision from it without the routes that the revision covers: a follower for good, a reader as its next watch begins there.

A node states its version only if it knows that no version up to its revision is newer. While only nodes answer that state none, a follower asks one for everything every two seconds (at 1,100 instances some 110 KB each, during an upgrade only), and a reader watches from the revision up to which it knows the routes. Nodes of the former version get the routes with every answer of a newer one; their questions wait for a revision as before, or they would ask without pause.

--- a/directory/delta.go
+++ b/directory/delta.go
@@ -39,8 +39,9 @@
 		Removed []Removal
 		Age     time.Duration // upper bound for the age of the state
 		// RoutesVersion is the version of the routes that the sending node holds,
-		// also if they are not included; 0 for none or not stated, as by nodes of the
-		// former version.
+		// also if they are not included. No version up to Revision is newer. It is 0 if
+		// the node has no routes or cannot tell, as nodes of the former version and
+		// those that learnt their revision from them.
 		RoutesVersion callgraph.Version
 	}
 
@@ -101,8 +102,11 @@
 
 func (d *Directory) sinceLocked(p Position) Delta {
 	after := p.Revision
-	x := Delta{Snapshot: Snapshot{Revision: d.revision}, Age: d.source.age(time.Now()), RoutesVersion: d.routesVersion()}
-	if x.RoutesVersion > p.Routes {
+	x := Delta{Snapshot: Snapshot{Revision: d.revision}, Age: d.source.age(time.Now())}
+	if d.routesUpTo >= d.revision {
+		x.RoutesVersion = d.routesVersion()
+	}
+	if d.routesVersion() > p.Routes {
 		x.Routes = d.routes
 	}
 	if after >= d.removals.completeAfter && after <= d.revision {
@@ -160,6 +164,9 @@
 	d.mu.Lock()
 	defer d.unlock()
 	newRoutes := d.setRoutes(x.Routes)
+	if x.RoutesVersion > 0 {
+		d.routesUpTo = max(d.routesUpTo, x.Revision)
+	}
 	applied := d.applyEntriesLocked(x)
 	if newRoutes {
 		d.publish()
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -80,6 +80,7 @@
 		graceEnds      time.Time     // end of the grace period after an outage
 		hasSnapshot    bool          // a snapshot has been applied
 		revision       Revision      // all entries and removals up to it are known
+		routesUpTo     Revision      // no version up to it is newer than the routes
 		invalidEntries int           // total since the start
 		deltaApplied   chan struct{} // capacity 1; signals that ApplyDelta advanced revision during a watch
 		advanced       chan struct{} // closed and replaced when revision or the routes advance
@@ -117,6 +118,7 @@
 	d.mu.Lock()
 	defer d.unlock()
 	d.replaceLocked(s)
+	d.routesUpTo = max(d.routesUpTo, s.Revision)
 }
 
 func (d *Directory) replaceLocked(s Snapshot) {
@@ -178,6 +180,7 @@
 	d.mu.Lock()
 	defer d.unlock()
 	d.applyLocked(changes, upTo)
+	d.routesUpTo = max(d.routesUpTo, upTo)
 }
 
 func (d *Directory) applyLocked(changes []Change, upTo Revision) {
--- a/directory/reader.go
+++ b/directory/reader.go
@@ -245,13 +245,16 @@
 }
 
 // resumeRevision returns the revision to watch from and clears the signal of
-// ApplyDelta, which concerns earlier watches.
+// ApplyDelta, which concerns earlier watches. Nodes of the former version may have
+// told of a revision without the routes that it covers; these are watched for.
 func (d *Directory) resumeRevision() Revision {
 	select {
 	case <-d.deltaApplied:
 	default:
 	}
-	return d.Revision()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return min(d.revision, d.routesUpTo)
 }
 
 // interruptWatch cancels a watch if ApplyDelta advances the revision and the
--- a/directory/routes_delta_test.go
+++ b/directory/routes_delta_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/oatpin/oatpin/callgraph"
 	. "github.com/smartystreets/goconvey/convey"
@@ -69,3 +71,45 @@
 		})
 	}
 }
+
+// A node of the former version tells a reader of a revision without the routes that
+// it covers. Guards against a reader whose watch begins after them.
+func TestReaderWatchesForRoutesThatFormerNodeOmits(t *testing.T) {
+	Convey("The reader has been told of revision 30 by a node that states no version", t, func() {
+		d := holding(t, 3, 21)
+		So(d.ApplyDelta(Delta{After: 21, Snapshot: Snapshot{Revision: 30}}), ShouldBeTrue)
+		So(d.Revision(), ShouldEqual, 30)
+		So(d.resumeRevision(), ShouldEqual, 21)
+		Convey("It does not state a version to others, which would rely on it", func() {
+			So(d.Since(Position{Revision: 21, Routes: 3}).RoutesVersion, ShouldEqual, 0)
+		})
+		Convey("What it watches covers the routes", func() {
+			write(t, d, 4, 31)
+			So(d.resumeRevision(), ShouldEqual, 31)
+			So(d.Since(Position{Revision: 21, Routes: 3}).RoutesVersion, ShouldEqual, 4)
+		})
+		Convey("So does a node that states its version", func() {
+			poll(d, holding(t, 4, 32))
+			So(d.resumeRevision(), ShouldEqual, 32)
+		})
+	})
+}
+
+// Guards against nodes of the former version, which do not state theirs, that ask
+// without pause or are not given the routes.
+func TestAwaitWithoutVersionWaitsForRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := holding(t, 4, 21)
+		Convey("The answer comes after the wait and contains the routes", t, func() {
+			began := time.Now()
+			x := d.Await(t.Context(), Position{Revision: 21}, time.Second)
+			So(time.Since(began), ShouldEqual, time.Second)
+			So(x.Routes, ShouldNotBeNil)
+			Convey("A stated version that is older ends it at once", func() {
+				began := time.Now()
+				So(d.Await(t.Context(), Position{Revision: 21, Routes: 3}, time.Second).Routes, ShouldNotBeNil)
+				So(time.Since(began), ShouldEqual, 0)
+			})
+		})
+	})
+}
--- a/replication/syncer.go
+++ b/replication/syncer.go
@@ -30,6 +30,10 @@
 	// maxFailedPolls is after how many failed polls in a row a node reads the source
 	// itself. Two readers of a data centre may be lost at once.
 	maxFailedPolls = 3
+	// wholeStateInterval is how often a node asks for everything while only nodes of
+	// the former version answer it. Readers are polled in rotation, so another one has
+	// answered by then.
+	wholeStateInterval = 2 * pollWait
 	// bootstrapRetryDelay is the pause after a seed that did not answer; it may
 	// still be starting. All nodes start within about 0.3 s of each other.
 	bootstrapRetryDelay = 50 * time.Millisecond
@@ -73,10 +77,11 @@
 		counters counters
 
 		// round counts the polls. Only the goroutine of Run uses round,
-		// failedPolls and backoffs.
+		// failedPolls, backoffs and peerRoutes.
 		round       int
 		failedPolls int // in a row
 		backoffs    peerBackoffs
+		peerRoutes  peerRoutes
 
 		mu              sync.Mutex
 		view            *directory.View // from which ranking was built
@@ -251,7 +256,7 @@
 // poll asks a node for what this one does not know and applies the answer. A
 // node that does not answer is skipped until its backoff ends.
 func (s *Syncer) poll(ctx context.Context, at Addr, wait time.Duration) {
-	delta, err := s.cfg.Peers.Since(ctx, at, s.dir.Position(), wait)
+	delta, err := s.cfg.Peers.Since(ctx, at, s.position(), wait)
 	if ctx.Err() != nil {
 		return
 	}
@@ -265,9 +270,19 @@
 	}
 	s.failedPolls = 0
 	s.backoffs.recordSuccess(at)
+	s.peerRoutes.record(delta, time.Now())
 	s.dir.ApplyDelta(delta)
 }
 
+// position returns the position from which to ask another node.
+func (s *Syncer) position() directory.Position {
+	p := s.dir.Position()
+	if !s.dir.ReadsSource() && s.peerRoutes.unknown(time.Now()) {
+		p.Revision = 0
+	}
+	return p
+}
+
 // bootstrap polls the seeds until one has answered with a snapshot, another
 // node polls this one, or, for a node that can read the source,
 // bootstrapTimeout has passed.
