Forget accounts with a version of the routes without any

The limiter kept the buckets of the accounts of the version before, so one that was added again later began with the former limit until its next quota: requests within the new limit got 429. TestAccountsAreForgottenWithRoutesWithoutAccounts: 429 for 200 before, 200 now. That accounts, keys and limits travel inside the routes, and so by their version, is what TestAccountsAreEncodedWithRoutes shows.

--- a/account/limiter.go
+++ b/account/limiter.go
@@ -239,10 +239,14 @@
 }
 
 // SetRegistry removes accounts that are not in registry and applies lowered
-// limits to the others.
+// limits to the others. A nil registry has no accounts.
 func (l *Limiter) SetRegistry(registry *Registry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if registry == nil {
+		clear(l.buckets)
+		return
+	}
 	for name, b := range l.buckets {
 		a := registry.ByName(name)
 		if a == nil {
--- a/sidecar/account_test.go
+++ b/sidecar/account_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/admit"
+	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/directory"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -243,6 +244,34 @@
 	})
 }
 
+// Guards against the limit of a former account that is applied to one added after
+// a version of the routes without accounts.
+func TestAccountsAreForgottenWithRoutesWithoutAccounts(t *testing.T) {
+	m := newMesh(t, "entwurf", "archiv")
+	update := func(v callgraph.Version, accounts *account.Registry) {
+		m.accounts = accounts
+		m.updateAll(v)
+	}
+	withLimit := func(rate float64) *account.Registry {
+		return newAccountRegistry(t, account.Account{Name: "limited", Keys: []account.Digest{account.DigestOf("k")}, Rate: rate, Burst: rate})
+	}
+	send := func() int {
+		_, got := m.send(context.Background(), m.vms[0], http.MethodGet, "/read/x", "", map[string]string{"Authorization": "Key k"})
+		return got.code
+	}
+	Convey("A request within the new limit is served", t, func() {
+		update(2, withLimit(1))
+		code := send()
+		for range 10 {
+			code = send()
+		}
+		So(code, ShouldEqual, http.StatusTooManyRequests)
+		update(3, nil)
+		update(4, withLimit(1000))
+		So(send(), ShouldEqual, http.StatusOK)
+	})
+}
+
 // Two nodes receive requests of one account. Without exchanging usage, each
 // would admit the whole limit.
 func TestNodesShareAccountUsage(t *testing.T) {
--- a/sidecar/local.go
+++ b/sidecar/local.go
@@ -16,8 +16,8 @@
 	n.balancer.Prune(v)
 	n.shareRetryBudgets(len(v.All()))
 	n.queryUnlisted(v)
-	if registry := n.accountRegistry(); registry != nil {
-		n.limiter.SetRegistry(registry)
+	if v.Routes != nil {
+		n.limiter.SetRegistry(v.Routes.Accounts)
 	}
 	in, ok := v.InstanceAt(n.cfg.TargetAddr)
 	if !ok {
