Bound what an instance may send in answer to a request

An instance may send bytes without end, in a head or a body. An answer that stated a length over the bound, or was over it in chunks, was read to its end all the same, since closing the body of an http.Response does that.

Heads, interim answers, skipped answers with their bodies and bodies have a bound each (targetconn/bound.go). Past it the connection is closed at once and the attempt ends as one that may have run: what may be repeated goes to another instance, the rest is answered 502. It counts against the instance as other failures do. What arrives after an answer closes its idle connection within 0.4 s; it was found only when the connection was used again. A metric and a line name instance and bound.

TestAnswerWithoutEndIsCutOff: bytes read per bound, under 1 s, closed within 1 s. TestInstanceThatAnswersWithoutEndIsAvoided: one of two instances at fault; on the code before reads wait for their deadline of 1 s.

--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -167,7 +167,6 @@
 		thresholds:   admit.NewThresholdTable(),
 		costs:        admit.NewRouteCosts(),
 		running:      newRunningRequests(),
-		target:       targetconn.NewPool(targetconn.Config{Addr: cfg.TargetAddr, Headers: cfg.Headers}),
 		peerPort:     port,
 		stats:        newStats(cfg.Name),
 		retryBudgets: map[string]*budget.RetryWindow{},
@@ -185,6 +184,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.target = targetconn.NewPool(targetconn.Config{Addr: cfg.TargetAddr, Headers: cfg.Headers, OnTrailing: n.recordTrailing})
 	n.targetRate.gate = n.gate
 	n.untilDrain, n.startDrain = context.WithCancel(context.Background())
 	n.syncer = replication.New(n.syncerConfig(self))
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
@@ -245,6 +246,7 @@
 		}
 		return call.Refuse(r, err.Error(), 0), by
 	case err != nil:
+		n.recordOverBound(r, err)
 		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), ReachedTarget: true, InstanceExit: n.targetExitDuring(ctx, &r, began)}, by
 	}
 	a := n.classifyAnswer(r, resp)
@@ -254,6 +256,30 @@
 	return a, by
 }
 
+// recordOverBound counts and logs an answer of the local target that was over a bound.
+func (n *Node) recordOverBound(r call.Request, err error) {
+	var over *targetconn.BoundError
+	if !errors.As(err, &over) {
+		return
+	}
+	n.stats.countOverBound(over.Bound)
+	n.decisions.Log("answer_over_bound", func() log.Fields {
+		return log.Fields{"id": r.ID, "route": r.Operation, "instance": r.To, "bound": over.Bound, "limit": over.Limit}
+	})
+}
+
+// recordTrailing counts and logs that the local target sent bytes after an answer.
+func (n *Node) recordTrailing() {
+	n.stats.countOverBound(targetconn.BoundTrailing)
+	n.decisions.Log("answer_over_bound", func() log.Fields {
+		f := log.Fields{"bound": targetconn.BoundTrailing}
+		if in := n.self.Load(); in != nil {
+			f["instance"] = in.ID
+		}
+		return f
+	})
+}
+
 // classifyAnswer maps a target's response to a call status.
 func (n *Node) classifyAnswer(r call.Request, resp *targetconn.Answer) call.Answer {
 	headers := n.cfg.Headers
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -12,6 +12,7 @@
 	"github.com/oatpin/oatpin/directory"
 	"github.com/oatpin/oatpin/quarantine"
 	"github.com/oatpin/oatpin/replication"
+	"github.com/oatpin/oatpin/targetconn"
 )
 
 // Causes of refusals, as counted in oatpin_refused_total.
@@ -166,6 +167,11 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_target_rate_limit_invalid_total{node=%q}`, s.node)).Inc()
 }
 
+// countOverBound counts an answer of the local target that was over a bound.
+func (s *stats) countOverBound(b targetconn.Bound) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_target_answers_over_bound_total{node=%q,bound=%q}`, s.node, b)).Inc()
+}
+
 // countSent counts a request sent to the local target.
 func (s *stats) countSent() { s.sent.Inc() }
 
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -33,9 +34,9 @@
 	// resetGrace is how long an exiting process may accept connections after it
 	// has reset others; it resets those too.
 	resetGrace = 5 * time.Millisecond
-	// maxMismatched is how many answers to other requests are skipped on a
-	// connection before it is closed.
-	maxMismatched = 3
+	// trailingCheckInterval is how often connections that became idle are checked for
+	// bytes after an answer.
+	trailingCheckInterval = 400 * time.Millisecond
 	// asyncBodySize is the size in bytes from which a request body is written
 	// concurrently with reading the answer: a target may answer before it reads
 	// the body, and the write of a body larger than the socket buffer would
@@ -44,8 +45,6 @@
 	// maxPrealloc is the largest Content-Length in bytes for which the answer's
 	// body is allocated in advance, because the target may not send all of it.
 	maxPrealloc = 64 << 10
-	// maxBody limits an answer's body, in bytes.
-	maxBody = 64 << 20
 )
 
 var (
@@ -58,8 +57,6 @@
 	// ErrNoAnswer means that the request was written at least in part and no
 	// complete answer arrived, so it may have run.
 	ErrNoAnswer = eris.New("no whole answer from the target")
-
-	errBodyTooLarge = eris.Errorf("answer over %d bytes", maxBody)
 )
 
 type (
@@ -69,6 +66,9 @@
 		Headers call.Headers
 		// Dial opens a connection; nil means TCP with dialTimeout.
 		Dial func(ctx context.Context, addr string) (net.Conn, error)
+		// OnTrailing is called when a connection is closed because the target sent
+		// bytes after an answer; nil for none.
+		OnTrailing func()
 	}
 
 	// Request is an HTTP request to the target.
@@ -100,11 +100,14 @@
 		mu        sync.Mutex
 		idleConns []*conn   // least recently used first
 		started   time.Time // when the target's process was started, as far as known
+		unchecked []*conn   // that became idle since the last check for bytes after an answer
+		checking  bool      // such a check is due
 	}
 
 	conn struct {
 		nc      net.Conn
-		r       *bufio.Reader
+		in      *boundedReader
+		r       *bufio.Reader // of in
 		w       *bufio.Writer
 		opened  time.Time
 		expires time.Time // time after which it must not be used
@@ -123,7 +126,7 @@
 }
 
 // Do sends r to the target at most once and returns the answer. The error wraps
-// ErrNotSent or ErrNoAnswer. If ctx ends, Do closes the connection, which makes
+// ErrNotSent or ErrNoAnswer, and a BoundError if the answer is over a bound. If ctx ends, Do closes the connection, which makes
 // most targets stop working on the request.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
 	c, err := p.get(ctx)
@@ -147,7 +150,7 @@
 		if ctx.Err() != nil {
 			return nil, eris.Wrap(ErrNoAnswer, ctx.Err().Error())
 		}
-		return nil, eris.Wrap(ErrNoAnswer, err.Error())
+		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	return a, nil
 }
@@ -218,7 +221,8 @@
 }
 
 func (p *Pool) newConn(nc net.Conn) *conn {
-	c := &conn{nc: nc, r: bufio.NewReader(nc), w: bufio.NewWriter(nc), opened: time.Now()}
+	in := &boundedReader{r: nc, left: -1}
+	c := &conn{nc: nc, in: in, r: bufio.NewReader(in), w: bufio.NewWriter(nc), opened: time.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isFormer(c) {
@@ -253,6 +257,33 @@
 		return
 	}
 	p.idleConns = append(p.idleConns, c)
+	p.unchecked = append(p.unchecked, c)
+	if !p.checking {
+		p.checking = true
+		time.AfterFunc(trailingCheckInterval, p.closeTrailing)
+	}
+}
+
+// closeTrailing closes the connections that became idle lately and on which
+// something has arrived since. They would otherwise be found only when used again,
+// and what a target goes on sending takes memory until then.
+func (p *Pool) closeTrailing() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeIdle(func(c *conn) bool {
+		if !slices.Contains(p.unchecked, c) || !c.trailing() {
+			return false
+		}
+		p.reportTrailing()
+		return true
+	})
+	p.unchecked, p.checking = nil, false
+}
+
+func (p *Pool) reportTrailing() {
+	if p.cfg.OnTrailing != nil {
+		p.cfg.OnTrailing()
+	}
 }
 
 // idle reports whether the connection is open and nothing has arrived on it. If
@@ -272,14 +303,38 @@
 	}
 	idle := false
 	err = rc.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		_, idle = peek(fd)
 		return true
 	})
 	return err == nil && idle
 }
 
+// trailing reports whether something has arrived on an idle connection.
+func (c *conn) trailing() bool {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = rc.Read(func(fd uintptr) bool {
+		n, _ = peek(fd)
+		return true
+	})
+	return err == nil && n > 0
+}
+
+// peek returns how many bytes, at most one, have arrived at a socket, and whether it
+// is open and nothing has.
+func peek(fd uintptr) (n int, idle bool) {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+}
+
 // roundTrip writes r and reads its answer; reuse is set if the connection can
 // carry another request.
 func (p *Pool) roundTrip(c *conn, r *Request) (a *Answer, reuse bool, err error) {
@@ -314,9 +369,9 @@
 	return a, reuse, nil
 }
 
-// readBody reads a response body of at most maxBody bytes.
+// readBody reads a response body of at most maxBody bytes. It is not closed, which
+// would read it to its end.
 func readBody(resp *http.Response) ([]byte, error) {
-	defer resp.Body.Close()
 	if resp.ContentLength > maxBody {
 		return nil, errBodyTooLarge
 	}
@@ -336,22 +391,35 @@
 // request ID, such as a duplicate response to an earlier request.
 func (p *Pool) readResponse(c *conn, r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
-	for mismatched := 0; ; {
+	skipped := int64(maxBody)
+	c.in.left = maxHead
+	defer func() { c.in.left = -1 }()
+	for mismatched, interim := 0, 0; ; {
 		resp, err := http.ReadResponse(c.r, req)
 		if err != nil {
-			return nil, err
+			return nil, c.in.explain(err)
 		}
 		id := resp.Header.Get(p.cfg.Headers.RequestID)
 		switch {
 		case resp.StatusCode < http.StatusOK:
 			// Informational; the final response follows.
+			if interim++; interim > maxInterim {
+				return nil, &BoundError{Bound: BoundInterim, Limit: maxInterim}
+			}
 		case id != "" && id != string(r.ID):
 			if mismatched++; mismatched > maxMismatched {
-				return nil, eris.New("answers to other requests only")
+				return nil, &BoundError{Bound: BoundMismatched, Limit: maxMismatched}
+			}
+			c.in.left = -1
+			n, err := io.CopyN(io.Discard, resp.Body, skipped+1)
+			if err == nil {
+				return nil, &BoundError{Bound: BoundMismatched, Limit: maxBody}
 			}
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			if !errors.Is(err, io.EOF) {
 				return nil, err
 			}
+			skipped -= n
+			c.in.left = maxHead
 			// Do not reuse the connection: more mismatched responses may
 			// follow.
 			resp.Close = true
