Count what a node holds for answers against its memory

Answers were bounded one by one (64 MB), not in their sum: forty callers a node that read answers of 8 MB slowly took it to 581 MB of 284 (figure of the issue), where it is killed and everything beside it lost. And an idle node refused every body from some 28 MB in chunks (36 with a length) on, with 503 and Retry-After, though it is within the limit of the routes: the buffer that grows counts old and new together against three quarters of a quarter of the memory.

package memory keeps the accounts: one of requests (three eighths of the process's memory) and one of answers (a quarter). They are apart because a request holds its body until its answer has come; in one, answers could wait for requests that wait for answers. An answer of the instance that states its length waits until there is room, so the instance waits and not the memory; one that does not, or comes from another node, ends the attempt as one that may have run when there is none. A frame's body counts before it is read, and is skipped without room; up to 4 KB, and what nodes tell each other themselves, does not count, so that nodes keep up. A large body may use all of an account that others hardly use. Given back on every way out by memory.Hold.

--- a/call/call.go
+++ b/call/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/oatpin/oatpin/memory"
 )
 
 // Class is the priority of a call when a target sheds load.
@@ -60,6 +62,10 @@
 	// KnownUpAt is the InstanceState.UpAt with which KnownRateLimit was stated.
 	// Between nodes it is part of the frame.
 	KnownUpAt UnixMilli `msgpack:"-"`
+	// Held is the memory of Body if it came from another node.
+	Held *memory.Hold `msgpack:"-"`
+	// BodySkipped is set if the receiving node had no memory for Body.
+	BodySkipped bool `msgpack:"-"`
 	// AwaitRate lets the request wait for the instance's rate limit, because no
 	// other instance takes it. Between nodes it is part of the frame.
 	AwaitRate bool `msgpack:"-"`
@@ -89,6 +95,8 @@
 	// limit: the time until the limit is expected to admit another one. Between
 	// nodes it is part of the frame.
 	RateWait time.Duration `msgpack:"-"`
+	// Held is the memory of Body; whoever is done with the answer releases it.
+	Held *memory.Hold `msgpack:"-"`
 }
 
 // InstanceExit describes the exit of an instance while a request was in
--- a/call/decode.go
+++ b/call/decode.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"github.com/oatpin/oatpin/memory"
 	"github.com/oatpin/oatpin/message"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -13,23 +14,40 @@
 )
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
-func (r *Request) DecodeMsgpack(d *msgpack.Decoder) error {
+func (r *Request) DecodeMsgpack(d *msgpack.Decoder) error { return r.decode(d, &countedBody{}) }
+
+func (r *Request) decode(d *msgpack.Decoder, b *countedBody) error {
 	*r = Request{}
 	if message.IsMap(d) {
 		return d.Decode((*namedRequest)(r))
 	}
-	return message.DecodeArray(d, (*string)(&r.ID), &r.Service, &r.Operation, (*string)(&r.Key), &r.Remaining, &r.To, &r.Sent,
-		&r.RetryBudget, (*message.List[string])(&r.DeclinedBy), &r.Body, &r.HTTP)
+	err := message.DecodeArray(d, (*string)(&r.ID), &r.Service, &r.Operation, (*string)(&r.Key), &r.Remaining, &r.To, &r.Sent,
+		&r.RetryBudget, (*message.List[string])(&r.DeclinedBy), b, &r.HTTP)
+	r.Body, r.Held, r.BodySkipped = b.body, b.held, b.skipped
+	if err != nil {
+		r.Held.Release()
+	}
+	return err
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
-func (a *Answer) DecodeMsgpack(d *msgpack.Decoder) error {
+func (a *Answer) DecodeMsgpack(d *msgpack.Decoder) error { return a.decode(d, &countedBody{}) }
+
+func (a *Answer) decode(d *msgpack.Decoder, b *countedBody) error {
 	*a = Answer{}
 	if message.IsMap(d) {
 		return d.Decode((*namedAnswer)(a))
 	}
-	return message.DecodeArray(d, (*string)(&a.ID), (*string)(&a.Status), &a.Reason, &a.RetryAfter, &a.RetriesUsed, &a.Leaving,
-		&a.Declined, &a.Body, &a.HTTP, &a.ReachedTarget, &a.Load, &a.InstanceExit, &a.NoRetry, &a.Piggyback)
+	err := message.DecodeArray(d, (*string)(&a.ID), (*string)(&a.Status), &a.Reason, &a.RetryAfter, &a.RetriesUsed, &a.Leaving,
+		&a.Declined, b, &a.HTTP, &a.ReachedTarget, &a.Load, &a.InstanceExit, &a.NoRetry, &a.Piggyback)
+	a.Body, a.Held = b.body, b.held
+	if b.skipped {
+		a.Status, a.Reason, a.HTTP = Unknown, memory.ErrNoMemory.Error(), nil
+	}
+	if err != nil {
+		a.Held.Release()
+	}
+	return err
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -19,9 +19,14 @@
 )
 
 const (
-	// bodyMemoryDivisor limits request bodies to a fraction of the process's
-	// memory, because each body is copied once or twice while it is forwarded.
-	bodyMemoryDivisor = 4
+	// bodyMemoryNum / bodyMemoryDen is the fraction of the process's memory for request
+	// bodies. The largest that deployments allow, 64 MB of a process of 284 MB, takes
+	// half as much again while its buffer grows.
+	bodyMemoryNum = 3
+	bodyMemoryDen = 8
+	// answerMemoryDivisor limits the bodies of answers to a fraction of the memory. The
+	// largest answer fits into a process of 284 MB.
+	answerMemoryDivisor = 4
 	// heapNum / heapDen is the fraction of the process's memory from which on
 	// garbage is collected more often. The rest is for stacks, buffers of the
 	// system and what is allocated during a collection.
@@ -109,8 +114,9 @@
 // tuning returns the settings that a reload applies.
 func tuning(s settings.Sidecar) sidecar.Tuning {
 	return sidecar.Tuning{
-		MaxHeldBodyBytes: int64(s.MemoryMB) << 20 / bodyMemoryDivisor,
-		Retries:          budget.RetryWindowConfig{Span: s.RetryWindow, Ratio: s.RetryRatio, MinRetries: s.MinRetries, SharedRetries: s.SharedRetries},
+		MaxHeldBodyBytes:   int64(s.MemoryMB) << 20 * bodyMemoryNum / bodyMemoryDen,
+		MaxHeldAnswerBytes: int64(s.MemoryMB) << 20 / answerMemoryDivisor,
+		Retries:            budget.RetryWindowConfig{Span: s.RetryWindow, Ratio: s.RetryRatio, MinRetries: s.MinRetries, SharedRetries: s.SharedRetries},
 	}
 }
 
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -13,6 +13,7 @@
 	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/memory"
 )
 
 const (
@@ -29,7 +30,7 @@
 // request is a caller's request in progress.
 type request struct {
 	call.Request
-	body       bodyBuffer // of Request.Body
+	body       memory.Buffer // of Request.Body
 	route      *directory.Route
 	deadline   time.Time
 	received   time.Time
@@ -60,6 +61,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	a := n.forwardAndRelease(ctx, q)
+	defer a.Held.Release() // the caller may take its time to read it
 	n.recordOutcome(q, a, errors.Is(ctx.Err(), context.Canceled))
 	n.writeAnswer(w, q, a)
 }
@@ -70,7 +72,7 @@
 func (n *Node) forwardAndRelease(ctx context.Context, q *request) call.Answer {
 	defer func() {
 		q.Body = nil
-		q.body.release()
+		q.body.Release()
 	}()
 	return n.forward(ctx, q)
 }
@@ -151,7 +153,7 @@
 		return nil, refused
 	}
 	q := &request{body: body, route: rt, received: received, deadline: received.Add(timeout), account: origin.account, rank: origin.rank}
-	q.Request = call.Request{ID: id, Service: rt.PickService(n.draw()), Operation: rt.Name, Body: body.buf, HTTP: n.targetRequest(r, routes, rt, origin)}
+	q.Request = call.Request{ID: id, Service: rt.PickService(n.draw()), Operation: rt.Name, Body: body.Bytes(), HTTP: n.targetRequest(r, routes, rt, origin)}
 	q.quarantine = n.quarantineStateOf(&q.Request)
 	if !origin.child {
 		q.queueDeadline = received.Add(n.queueWait(n.requestTimes(rt, timeout)))
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -69,7 +69,9 @@
 			break
 		}
 		q.AwaitRate = to.LastResort || att.rateRefusals >= maxRateRefusals
+		previous := last
 		last = n.attempt(ctx, q, to, &att)
+		previous.Held.Release()
 		if !n.allowRetry(ctx, q, last, &att) {
 			break
 		}
@@ -77,6 +79,7 @@
 	if att.mayHaveRun && last.Status == call.NotRun {
 		// The last attempt was refused, but an earlier one may have been
 		// executed.
+		last.Held.Release()
 		last = call.Answer{ID: q.ID, Status: call.Unknown, Reason: "an earlier try may have run; the last was refused: " + last.Reason}
 	}
 	if att.unreachable == len(att.tried) && att.rateRefusals == 0 && n.stage(q.quarantine) == quarantine.Free {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -16,6 +16,7 @@
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/memory"
 	"github.com/oatpin/oatpin/quarantine"
 	"github.com/oatpin/oatpin/replication"
 	"github.com/oatpin/oatpin/slots"
@@ -74,10 +75,12 @@
 
 	// Tuning is the part of the configuration that can change at run time.
 	Tuning struct {
-		// MaxHeldBodyBytes bounds the total size of request bodies held in memory; 0
-		// means no bound.
-		MaxHeldBodyBytes int64
-		Retries          budget.RetryWindowConfig // retry budget of each service
+		// MaxHeldBodyBytes bounds the total size of request bodies held in memory, and
+		// MaxHeldAnswerBytes that of answers; 0 means no bound. They are apart, since a
+		// request holds its body until its answer has come: in one bound, each could
+		// wait for the other.
+		MaxHeldBodyBytes, MaxHeldAnswerBytes int64
+		Retries                              budget.RetryWindowConfig // retry budget of each service
 	}
 
 	// Node is a running sidecar. New builds one.
@@ -126,11 +129,12 @@
 
 		draws          atomic.Uint64 // sequence number of the last draw
 		tuning         atomic.Pointer[Tuning]
-		held           heldBytes    // request bodies
-		activeRequests atomic.Int64 // requests from callers in progress
-		catchingUp     atomic.Bool  // a catch-up from a peer is in progress
-		lastVouch      atomic.Bool  // last result of vouching for the local instance
-		drainStart     atomic.Int64 // Unix time in nanoseconds; 0 before shutdown
+		held           memory.Account // request bodies
+		heldAnswers    memory.Account // bodies of answers
+		activeRequests atomic.Int64   // requests from callers in progress
+		catchingUp     atomic.Bool    // a catch-up from a peer is in progress
+		lastVouch      atomic.Bool    // last result of vouching for the local instance
+		drainStart     atomic.Int64   // Unix time in nanoseconds; 0 before shutdown
 		drain          drainPolicy
 		deadlines      latestDeadline // of the requests accepted
 		refuseNew      atomic.Bool    // the node closes its connections
@@ -184,7 +188,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.target = targetconn.NewPool(targetconn.Config{Addr: cfg.TargetAddr, Headers: cfg.Headers, OnTrailing: n.recordTrailing})
+	n.target = targetconn.NewPool(targetconn.Config{Addr: cfg.TargetAddr, Headers: cfg.Headers, OnTrailing: n.recordTrailing, Memory: &n.heldAnswers})
 	n.targetRate.gate = n.gate
 	n.untilDrain, n.startDrain = context.WithCancel(context.Background())
 	n.syncer = replication.New(n.syncerConfig(self))
@@ -197,9 +201,9 @@
 	n.admission = choose[admit.Admission](cfg.Policies.SuccessRates, n.successRates, loadAdmission)
 	n.levels = cfg.Policies.levels(n.costs)
 	n.queueWait, n.retryAfter = cfg.Policies.queueWait(), cfg.Policies.retryAfter()
-	n.tuning.Store(&cfg.Tuning)
-	n.peers = wire.NewPool(wire.PoolConfig{Log: cfg.Log, OnVersion: n.onPeerRevision, DisableSuspicion: !cfg.Policies.Suspicion})
-	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log}
+	n.setTuning(&cfg.Tuning)
+	n.peers = wire.NewPool(wire.PoolConfig{Log: cfg.Log, OnVersion: n.onPeerRevision, DisableSuspicion: !cfg.Policies.Suspicion, Memory: &n.heldAnswers})
+	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log, Memory: &n.held}
 	n.callerServer = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.callerConns.track, ConnContext: withCallerConn}
 	n.readyServer = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	n.metricsServer = &http.Server{Handler: n.stats, ReadHeaderTimeout: headerTimeout}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -11,6 +11,7 @@
 	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/memory"
 	"github.com/oatpin/oatpin/slots"
 	"github.com/oatpin/oatpin/targetconn"
 )
@@ -43,12 +44,8 @@
 		a.Leaving = true
 		return a
 	}
-	limit := n.tuning.Load().MaxHeldBodyBytes
-	if size := len(r.Body); size > 0 {
-		if !n.held.take(int64(size), limit) {
-			return call.Refuse(r, errNoMemory.Error(), 0)
-		}
-		defer n.held.give(size)
+	if r.BodySkipped {
+		return call.Refuse(r, memory.ErrNoMemory.Error(), 0)
 	}
 	n.deadlines.record(time.Now().Add(r.Remaining))
 	return n.serveLocal(ctx, r)
@@ -250,6 +247,9 @@
 		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), ReachedTarget: true, InstanceExit: n.targetExitDuring(ctx, &r, began)}, by
 	}
 	a := n.classifyAnswer(r, resp)
+	if a.Held == nil {
+		resp.Held.Release()
+	}
 	if a.Status != call.Unknown && !a.Leaving && n.recordStatement(r, by, resp.Header, began).leaving {
 		a.State.Leaving, a.State.UpAt = true, by.At
 	}
@@ -303,6 +303,6 @@
 		a.Reason = "target answered " + strconv.Itoa(resp.Code)
 	}
 	a.HTTP = &call.HTTPAnswer{Code: resp.Code, Header: endToEnd(resp.Header, responseDropHeaders)}
-	a.Body = resp.Body
+	a.Body, a.Held = resp.Body, resp.Held
 	return a
 }
--- a/sidecar/stalled_caller_test.go
+++ b/sidecar/stalled_caller_test.go
@@ -48,7 +48,7 @@
 // awaitAnswer waits, within a bound, for the node of v to have the whole answer of
 // its target. Until then it rightly holds the body of the request.
 func awaitAnswer(v *vm) {
-	for until := time.Now().Add(answerStallTimeout / 2); v.node.held.used.Load() > 0 && time.Now().Before(until); {
+	for until := time.Now().Add(answerStallTimeout / 2); v.node.held.Used() > 0 && time.Now().Before(until); {
 		time.Sleep(10 * time.Millisecond)
 	}
 }
--- a/sidecar/tuning.go
+++ b/sidecar/tuning.go
@@ -7,10 +7,16 @@
 func (n *Node) Tune(t Tuning) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.tuning.Store(&t)
+	n.setTuning(&t)
 	n.retryBudgets = map[string]*budget.RetryWindow{}
 }
 
+func (n *Node) setTuning(t *Tuning) {
+	n.tuning.Store(t)
+	n.held.SetLimit(t.MaxHeldBodyBytes)
+	n.heldAnswers.SetLimit(t.MaxHeldAnswerBytes)
+}
+
 // retryBudget returns the retry budget of a service.
 func (n *Node) retryBudget(service string) *budget.RetryWindow {
 	n.mu.Lock()
--- a/sidecar/vouch.go
+++ b/sidecar/vouch.go
@@ -184,6 +184,9 @@
 	}
 	began := directory.UnixMilli(time.Now().UnixMilli())
 	resp, err := n.target.Do(ctx, &targetconn.Request{Method: http.MethodGet, Host: n.cfg.TargetAddr, URI: path})
+	if err == nil {
+		resp.Held.Release()
+	}
 	switch {
 	case errors.Is(err, targetconn.ErrConnRefused):
 		n.vouchChecker.RecordExit(began)
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/memory"
 	"github.com/rotisserie/eris"
 )
 
@@ -42,9 +43,9 @@
 	// the body, and the write of a body larger than the socket buffer would
 	// block until it does.
 	asyncBodySize = 16 << 10
-	// maxPrealloc is the largest Content-Length in bytes for which the answer's
-	// body is allocated in advance, because the target may not send all of it.
-	maxPrealloc = 64 << 10
+	// maxUncounted is the largest Content-Length in bytes of an answer that does not
+	// count against the memory for answers; there are as many as the target has slots.
+	maxUncounted = 4 << 10
 )
 
 var (
@@ -69,6 +70,8 @@
 		// OnTrailing is called when a connection is closed because the target sent
 		// bytes after an answer; nil for none.
 		OnTrailing func()
+		// Memory counts the bodies of answers; nil for none.
+		Memory *memory.Account
 	}
 
 	// Request is an HTTP request to the target.
@@ -90,6 +93,7 @@
 		Code   int
 		Header http.Header
 		Body   []byte
+		Held   *memory.Hold // of Body; released by whoever is done with the answer
 	}
 
 	// Pool sends requests to one target and keeps idle connections for reuse.
@@ -140,7 +144,7 @@
 		r.GotConn(c.opened)
 	}
 	stop := context.AfterFunc(ctx, func() { c.nc.SetDeadline(time.Unix(1, 0)) })
-	a, reuse, err := p.roundTrip(c, r)
+	a, reuse, err := p.roundTrip(ctx, c, r)
 	if !stop() || err != nil || !reuse {
 		c.nc.Close()
 	} else {
@@ -337,7 +341,7 @@
 
 // roundTrip writes r and reads its answer; reuse is set if the connection can
 // carry another request.
-func (p *Pool) roundTrip(c *conn, r *Request) (a *Answer, reuse bool, err error) {
+func (p *Pool) roundTrip(ctx context.Context, c *conn, r *Request) (a *Answer, reuse bool, err error) {
 	written := make(chan error, 1)
 	if len(r.Body) < asyncBodySize {
 		if err := c.write(r); err != nil {
@@ -351,11 +355,10 @@
 	if err != nil {
 		return nil, false, err
 	}
-	body, err := readBody(resp)
-	if err != nil {
+	a = &Answer{Code: resp.StatusCode, Header: resp.Header}
+	if a.Body, a.Held, err = p.readBody(ctx, resp); err != nil {
 		return nil, false, err
 	}
-	a = &Answer{Code: resp.StatusCode, Header: resp.Header, Body: body}
 	select {
 	case err := <-written:
 		reuse = err == nil && !resp.Close && c.r.Buffered() == 0
@@ -369,22 +372,40 @@
 	return a, reuse, nil
 }
 
-// readBody reads a response body of at most maxBody bytes. It is not closed, which
-// would read it to its end.
-func readBody(resp *http.Response) ([]byte, error) {
-	if resp.ContentLength > maxBody {
-		return nil, errBodyTooLarge
-	}
-	if resp.Body != http.NoBody && resp.ContentLength >= 0 && resp.ContentLength <= maxPrealloc {
-		body := make([]byte, resp.ContentLength)
+// readBody reads a response body of at most maxBody bytes into memory that it takes
+// from the account before. While there is none for a body that states its length, the
+// target waits; a body without holds what has come, so it ends if it may not grow. The
+// body is not closed, which would read it to its end.
+func (p *Pool) readBody(ctx context.Context, resp *http.Response) ([]byte, *memory.Hold, error) {
+	n := resp.ContentLength
+	switch {
+	case n > maxBody:
+		return nil, nil, errBodyTooLarge
+	case resp.Body == http.NoBody || n == 0:
+		return nil, nil, nil
+	case n > 0 && n <= maxUncounted:
+		body := make([]byte, n)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, nil, err
+	case n > 0:
+		if err := p.cfg.Memory.Await(ctx, n); err != nil {
+			return nil, nil, err
+		}
+		held := memory.NewHold(p.cfg.Memory, n)
+		body := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, body)
-		return body, err
+		if err != nil {
+			held.Release()
+		}
+		return body, held, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err == nil && len(body) > maxBody {
+	b := memory.NewBuffer(p.cfg.Memory)
+	err := b.ReadAll(io.LimitReader(resp.Body, maxBody+1), n)
+	if err == nil && len(b.Bytes()) > maxBody {
+		b.Release()
 		err = errBodyTooLarge
 	}
-	return body, err
+	return b.Bytes(), b.Hold(), err
 }
 
 // readResponse returns the response to r. It skips responses with another
--- a/targetconn/pool_test.go
+++ b/targetconn/pool_test.go
@@ -427,6 +427,7 @@
 // An answer to HEAD has a Content-Length without a body. An answer with fewer
 // bytes than its Content-Length is incomplete.
 func TestContentLengthWithoutBody(t *testing.T) {
+	const part = 64 << 10
 	Convey("A missing body is not waited for, and an incomplete one is an error", t, func() {
 		p, _ := startTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
 			for {
@@ -439,9 +440,9 @@
 				case http.MethodHead:
 					io.WriteString(c, header+"1500\r\n\r\n")
 				case http.MethodPut:
-					io.WriteString(c, header+strconv.Itoa(3*maxPrealloc)+"\r\n\r\n"+strings.Repeat("a", 3*maxPrealloc))
+					io.WriteString(c, header+strconv.Itoa(3*part)+"\r\n\r\n"+strings.Repeat("a", 3*part))
 				default:
-					io.WriteString(c, header+strconv.Itoa(3*maxPrealloc)+"\r\n\r\n"+strings.Repeat("a", maxPrealloc))
+					io.WriteString(c, header+strconv.Itoa(3*part)+"\r\n\r\n"+strings.Repeat("a", part))
 					return
 				}
 			}
@@ -454,7 +455,7 @@
 		So(a.Body, ShouldBeEmpty)
 		a, err = send(http.MethodPut)
 		So(err, ShouldBeNil)
-		So(len(a.Body), ShouldEqual, 3*maxPrealloc)
+		So(len(a.Body), ShouldEqual, 3*part)
 		_, err = send(http.MethodGet)
 		So(errors.Is(err, ErrNoAnswer), ShouldBeTrue)
 	})
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/memory"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -20,6 +21,8 @@
 	// DisableSuspicion disables suspicion: a peer that answers no pings is not
 	// suspected before its connection is closed with ErrKeepaliveTimeout.
 	DisableSuspicion bool
+	// Memory counts the bodies of answers; nil for none.
+	Memory *memory.Account
 	// Dial opens the network connection; nil means TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
@@ -88,7 +91,7 @@
 	}
 	c.lastStream++
 	s := c.lastStream
-	c.pending[s] = pendingCall{id: r.ID, ch: ch, endOnSuspicion: r.EndOnSuspicion}
+	c.pending[s] = pendingCall{id: r.ID, ch: ch, endOnSuspicion: r.EndOnSuspicion, uncounted: r.HTTP == nil}
 	c.mu.Unlock()
 	if err := c.out.write(Frame{Kind: KindRequest, Stream: s, Request: &r, ConfigVersion: version, From: c.cfg.From}); err != nil {
 		c.removePending(s)
@@ -103,6 +106,7 @@
 		return a, nil
 	case <-ctx.Done():
 		c.removePending(s)
+		releaseDelivered(ch)
 		if errors.Is(ctx.Err(), context.Canceled) {
 			// The peer enforces the deadline itself but must be told of an
 			// earlier cancellation.
@@ -132,6 +136,27 @@
 	return nil
 }
 
+// memoryOf returns the account of the answer on a stream. Answers between nodes
+// themselves do not count, so that a node keeps up whatever its callers hold.
+func (c *Conn) memoryOf(s Stream) *memory.Account {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.pending[s]; ok && p.uncounted {
+		return nil
+	}
+	return c.cfg.Memory
+}
+
+// releaseDelivered gives back the memory of an answer that came together with the end
+// of its call.
+func releaseDelivered(ch <-chan call.Answer) {
+	select {
+	case a := <-ch:
+		a.Held.Release()
+	default:
+	}
+}
+
 func (c *Conn) removePending(s Stream) {
 	c.mu.Lock()
 	delete(c.pending, s)
@@ -159,13 +184,14 @@
 func (c *Conn) readLoop() {
 	dec := msgpack.NewDecoder(bufio.NewReader(c.nc))
 	for {
-		var f Frame
+		f := Frame{memoryOf: c.memoryOf}
 		if err := dec.Decode(&f); err != nil {
 			c.closeWithError(err)
 			return
 		}
 		c.received.Store(true)
 		if f.Kind != KindAnswer || f.Answer == nil {
+			f.release()
 			continue
 		}
 		if c.cfg.OnVersion != nil {
@@ -178,12 +204,14 @@
 func (c *Conn) deliver(s Stream, a call.Answer) {
 	c.mu.Lock()
 	p, ok := c.pending[s]
-	if ok && p.id == a.ID {
+	ok = ok && p.id == a.ID
+	if ok {
 		delete(c.pending, s)
+		p.ch <- a // has room: there is one answer a stream
 	}
 	c.mu.Unlock()
-	if ok && p.id == a.ID {
-		p.ch <- a
+	if !ok {
+		a.Held.Release()
 	}
 }
 
@@ -192,4 +220,5 @@
 	id             call.RequestID
 	ch             chan call.Answer
 	endOnSuspicion bool // call.Request.EndOnSuspicion
+	uncounted      bool // the answer is not a target's
 }
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/memory"
 	"github.com/oatpin/oatpin/message"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -28,7 +29,14 @@
 		ConfigVersion uint64        `msgpack:"config"`         // active configuration version of the sender
 		From          string        `msgpack:"from,omitempty"` // instance name of the sender of a request
 
-		decoded extension // only while a frame is decoded; a variable of its own would be allocated each time
+		// memoryOf returns the account of the body on a stream while a frame is decoded;
+		// nil for none.
+		memoryOf func(Stream) *memory.Account
+
+		// Only while a frame is decoded; variables would be allocated each time.
+		decoded extension
+		request call.RequestDecoder
+		answer  call.AnswerDecoder
 	}
 
 	// extension is an optional last field of a Frame: the parts of its request
@@ -89,11 +97,15 @@
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (f *Frame) DecodeMsgpack(d *msgpack.Decoder) error {
-	*f = Frame{}
+	*f = Frame{memoryOf: f.memoryOf}
 	if message.IsMap(d) {
 		return d.Decode((*namedFrame)(f))
 	}
-	if err := message.DecodeArray(d, (*uint8)(&f.Kind), (*uint64)(&f.Stream), &f.Request, &f.Answer, &f.ConfigVersion, &f.From, &f.decoded); err != nil {
+	err := message.DecodeArray(d, (*uint8)(&f.Kind), (*streamDecoder)(f), &f.request, &f.answer, &f.ConfigVersion, &f.From, &f.decoded)
+	f.Request, f.Answer = f.request.Request, f.answer.Answer
+	f.request, f.answer = call.RequestDecoder{}, call.AnswerDecoder{}
+	if err != nil {
+		f.release()
 		return err
 	}
 	f.extend(f.decoded)
@@ -101,6 +113,21 @@
 	return nil
 }
 
+// streamDecoder decodes the stream of a Frame and with it finds the account of the
+// body, which comes after it.
+type streamDecoder Frame
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (f *streamDecoder) DecodeMsgpack(d *msgpack.Decoder) error {
+	s, err := d.DecodeUint64()
+	f.Stream = Stream(s)
+	if err == nil && f.memoryOf != nil {
+		f.request.Account = f.memoryOf(f.Stream)
+		f.answer.Account = f.request.Account
+	}
+	return err
+}
+
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (x *extension) DecodeMsgpack(d *msgpack.Decoder) error {
 	*x = extension{}
@@ -129,3 +156,13 @@
 		f.Answer.RateWait = x.RateWait
 	}
 }
+
+// release gives back the memory of a frame that nobody handles.
+func (f *Frame) release() {
+	if f.Request != nil {
+		f.Request.Held.Release()
+	}
+	if f.Answer != nil {
+		f.Answer.Held.Release()
+	}
+}
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/oatpin/oatpin/memory"
 	"github.com/rotisserie/eris"
 )
 
@@ -31,7 +32,8 @@
 		// OnVersion, if not nil, is called with the configuration version in
 		// each answer of a peer.
 		OnVersion        func(p Peer, version uint64)
-		DisableSuspicion bool // see DialConfig
+		DisableSuspicion bool            // see DialConfig
+		Memory           *memory.Account // of the bodies of answers; nil for none
 		// Dial opens the network connection; nil means TCP.
 		Dial func(ctx context.Context, addr string) (net.Conn, error)
 	}
@@ -123,7 +125,7 @@
 func (p *Pool) runDial(peer Peer, d *dial) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	cfg := DialConfig{From: p.cfg.From, DisableSuspicion: p.cfg.DisableSuspicion, Dial: p.cfg.Dial}
+	cfg := DialConfig{From: p.cfg.From, DisableSuspicion: p.cfg.DisableSuspicion, Memory: p.cfg.Memory, Dial: p.cfg.Dial}
 	if p.cfg.OnVersion != nil {
 		cfg.OnVersion = func(v uint64) { p.cfg.OnVersion(peer, v) }
 	}
--- a/wire/server.go
+++ b/wire/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/memory"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -29,6 +30,8 @@
 		// version of each request.
 		OnVersion func(from string, v uint64)
 		Log       log.Interface // of handlers that panic
+		// Memory counts the bodies of requests; nil for none.
+		Memory *memory.Account
 
 		inFlight atomic.Int64
 
@@ -84,8 +87,9 @@
 	defer cancel()
 	sc := &serverConn{server: s, nc: nc, out: newFrameWriter(nc), calls: map[Stream]context.CancelFunc{}}
 	dec := msgpack.NewDecoder(bufio.NewReader(nc))
+	memoryOf := func(Stream) *memory.Account { return s.Memory }
 	for {
-		var f Frame
+		f := Frame{memoryOf: memoryOf}
 		if err := dec.Decode(&f); err != nil {
 			return
 		}
@@ -96,9 +100,11 @@
 			if f.Request != nil {
 				sc.handleRequest(ctx, f)
 			}
+			continue
 		case KindCancel:
 			sc.cancelCall(f.Stream)
 		}
+		f.release()
 	}
 }
 
@@ -126,8 +132,10 @@
 	go func() {
 		defer s.inFlight.Add(-1)
 		a := s.handle(ctx, *f.Request)
+		f.release()
 		sc.cancelCall(f.Stream)
 		sc.send(Frame{Kind: KindAnswer, Stream: f.Stream, Answer: &a})
+		a.Held.Release()
 	}()
 }
 
