Soak: instances that answer without end, and callers that read slowly

Frames between nodes have a bound of their own, as another program may connect to the port, and the bytes held are a metric.

--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -10,6 +10,7 @@
 	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/memory"
 	"github.com/oatpin/oatpin/quarantine"
 	"github.com/oatpin/oatpin/replication"
 	"github.com/oatpin/oatpin/targetconn"
@@ -185,6 +186,9 @@
 	gauge("oatpin_target_limit", func() float64 { return float64(n.gate.Load().Limit) })
 	gauge("oatpin_target_rate_limit", n.targetRate.get)
 	gauge("oatpin_target_leaving", func() float64 { return boolGauge(n.targetLeaving()) })
+	for kind, a := range map[string]*memory.Account{"requests": &n.held, "answers": &n.heldAnswers} {
+		s.set.NewGauge(fmt.Sprintf(`oatpin_held_bytes{node=%q,kind=%q}`, s.node, kind), func() float64 { return float64(a.Used()) })
+	}
 	gauge("oatpin_target_failing_ratio", n.health.FailureRate)
 	gauge("oatpin_target_slow", n.slowdown.Slowdown)
 	gauge("oatpin_admitted_level", func() float64 { return float64(n.meter.Threshold()) })
--- a/soak/target.go
+++ b/soak/target.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,9 @@
 
 	run string // identifies this target among all with its ID; its signature
 
+	endless atomic.Pointer[endlessAnswer] // nil for whole answers
+	padding atomic.Int64                  // further bytes of each answer
+
 	mu        sync.Mutex
 	runs      map[string]int // number of executions by request ID
 	unhealthy bool
@@ -161,10 +165,19 @@
 		t.handlePoison()
 		return
 	}
+	if a := t.endless.Load(); a != nil {
+		writeEndless(w, a)
+		return
+	}
 	w.Header().Set(t.headers.Signature, t.run)
-	io.WriteString(w, responseBody(id, string(body)))
+	answer := responseBody(id, string(body)) + strings.Repeat(".", int(t.padding.Load()))
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	io.WriteString(w, answer)
 }
 
+// SetPadding sets by how many bytes answers are larger than usual.
+func (t *Target) SetPadding(bytes int64) { t.padding.Store(bytes) }
+
 // responseBody returns the body of the response to a request. The padding makes
 // it long enough to be transferred in several parts.
 func responseBody(id, body string) string { return id + " " + body + strings.Repeat(".", 2000) }
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -182,8 +182,10 @@
 // duplicated or for a cancelled call, and answers whose request ID differs from
 // the pending call's, so that a caller never gets the answer to another call.
 func (c *Conn) readLoop() {
-	dec := msgpack.NewDecoder(bufio.NewReader(c.nc))
+	in := &frameReader{r: c.nc}
+	dec := msgpack.NewDecoder(bufio.NewReader(in))
 	for {
+		in.next()
 		f := Frame{memoryOf: c.memoryOf}
 		if err := dec.Decode(&f); err != nil {
 			c.closeWithError(err)
--- a/wire/server.go
+++ b/wire/server.go
@@ -86,9 +86,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sc := &serverConn{server: s, nc: nc, out: newFrameWriter(nc), calls: map[Stream]context.CancelFunc{}}
-	dec := msgpack.NewDecoder(bufio.NewReader(nc))
+	in := &frameReader{r: nc}
+	dec := msgpack.NewDecoder(bufio.NewReader(in))
 	memoryOf := func(Stream) *memory.Account { return s.Memory }
 	for {
+		in.next()
 		f := Frame{memoryOf: memoryOf}
 		if err := dec.Decode(&f); err != nil {
 			return
