--- a/memory/account.go
+++ b/memory/account.go
@@ -40,6 +40,13 @@
 	a.wake()
 }
 
+// Limit returns the limit in bytes; 0 for none.
+func (a *Account) Limit() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limit
+}
+
 // Used returns the number of bytes held.
 func (a *Account) Used() int64 {
 	a.mu.Lock()
--- a/targetconn/bound.go
+++ b/targetconn/bound.go
@@ -25,6 +25,7 @@
 	BoundInterim    Bound = "interim_answers"
 	BoundMismatched Bound = "other_answers"
 	BoundBody       Bound = "body"
+	BoundMemory     Bound = "memory" // of a body without a length; the rest finds no room
 	BoundTrailing   Bound = "after_answer"
 )
 
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -401,7 +401,10 @@
 	}
 	b := memory.NewBuffer(p.cfg.Memory)
 	err := b.ReadAll(io.LimitReader(resp.Body, maxBody+1), n)
-	if err == nil && len(b.Bytes()) > maxBody {
+	switch {
+	case errors.Is(err, memory.ErrNoMemory):
+		err = &BoundError{Bound: BoundMemory, Limit: p.cfg.Memory.Limit()}
+	case err == nil && len(b.Bytes()) > maxBody:
 		b.Release()
 		err = errBodyTooLarge
 	}
