Refuse requests whose large answers would find no room, before they run

Without room for the answer of another node the attempt ends as one that may have run: an action that did run was answered 502, though the node could have told before. Routes with small answers are not touched, nor are calls of running requests. TestRequestsWithoutRoomForTheirAnswersAreNotRun: without the reservation the actions ran.

--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -40,6 +40,7 @@
 	// queueDeadline limits the time that a new request waits in queues, over
 	// all attempts; zero for child requests.
 	queueDeadline time.Time
+	answer        *memory.Hold // room for a large answer
 }
 
 // serveCaller handles a request from a caller on this VM or from the local
@@ -60,8 +61,12 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	defer q.answer.Release()
 	a := n.forwardAndRelease(ctx, q)
 	defer a.Held.Release() // the caller may take its time to read it
+	if a.Status == call.OK {
+		n.answerSizes.record(q.route.Name, int64(len(a.Body)))
+	}
 	n.recordOutcome(q, a, errors.Is(ctx.Err(), context.Canceled))
 	n.writeAnswer(w, q, a)
 }
@@ -146,13 +151,20 @@
 			return nil, refused
 		}
 	}
+	answer, refused := n.reserveAnswer(rt, origin)
+	if refused != nil {
+		n.limiter.Refund(origin.account)
+		refused.account = origin.account
+		return nil, refused
+	}
 	body, refused := n.readBody(w, r, routes.Limits.BodyBytes, received.Add(timeout))
 	if refused != nil {
+		answer.Release()
 		n.limiter.Refund(origin.account)
 		refused.account = origin.account
 		return nil, refused
 	}
-	q := &request{body: body, route: rt, received: received, deadline: received.Add(timeout), account: origin.account, rank: origin.rank}
+	q := &request{body: body, answer: answer, route: rt, received: received, deadline: received.Add(timeout), account: origin.account, rank: origin.rank}
 	q.Request = call.Request{ID: id, Service: rt.PickService(n.draw()), Operation: rt.Name, Body: body.Bytes(), HTTP: n.targetRequest(r, routes, rt, origin)}
 	q.quarantine = n.quarantineStateOf(&q.Request)
 	if !origin.child {
@@ -161,6 +173,20 @@
 	return q, nil
 }
 
+// reserveAnswer reserves room for the answer of a new request if answers of its route
+// are large. Without any, the request is refused before it runs: one that has run and
+// whose answer finds no room would be lost to its caller.
+func (n *Node) reserveAnswer(rt *directory.Route, origin requestOrigin) (*memory.Hold, *refusal) {
+	size := n.answerSizes.large(rt.Name)
+	if size == 0 || origin.child {
+		return nil, nil
+	}
+	if !n.awaited.Take(size) {
+		return nil, &refusal{code: http.StatusServiceUnavailable, cause: causeAnswer, retryAfter: retryAfterUnavailable, reason: "no memory for the answer"}
+	}
+	return memory.NewHold(&n.awaited, size), nil
+}
+
 // requestTimes returns the durations from which wait limits are derived.
 func (n *Node) requestTimes(rt *directory.Route, remaining time.Duration) admit.RequestTiming {
 	return admit.RequestTiming{Remaining: remaining, TargetLatency: rt.TargetLatency, TypicalLatency: n.totalTimes.Mean(rt.Name, 0)}
--- a/sidecar/held_answers_test.go
+++ b/sidecar/held_answers_test.go
@@ -22,8 +22,8 @@
 	for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 		held = ""
 		for _, v := range m.vms {
-			if r, a := v.node.held.Used(), v.node.heldAnswers.Used(); r != 0 || a != 0 {
-				held += fmt.Sprintf("%s holds %d bytes of requests and %d of answers; ", v.ip, r, a)
+			if r, a, e := v.node.held.Used(), v.node.heldAnswers.Used(), v.node.awaited.Used(); r+a+e != 0 {
+				held += fmt.Sprintf("%s holds %d bytes of requests and %d of answers, and expects %d; ", v.ip, r, a, e)
 			}
 		}
 		if held == "" {
@@ -92,7 +92,7 @@
 		}
 		time.Sleep(300 * time.Millisecond)
 		for range 10 {
-			_, got := m.get(m.vms[0], "/read/small")
+			_, got := m.get(m.vms[0], "/open/small")
 			So(got.code, ShouldEqual, http.StatusOK)
 		}
 		for _, c := range conns {
@@ -108,6 +108,41 @@
 	})
 }
 
+// Guards against actions that run and whose large answers find no room at the node
+// that their callers asked.
+func TestRequestsWithoutRoomForTheirAnswersAreNotRun(t *testing.T) {
+	const (
+		size  = 12 << 20 // more than sockets hold
+		limit = 8 * size
+	)
+	m := newMesh(t, "entwurf", "archiv")
+	m.limitMemory(1<<20, limit)
+	m.vms[1].target.handleWith(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		writeSigned(w, r, http.StatusOK, strings.Repeat("x", size))
+	})
+	Convey("Once the size is known, those beyond the memory get 503 and do not run", t, func() {
+		_, got := m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		So(got.code, ShouldEqual, http.StatusOK)
+		var unread []net.Conn
+		for i := range 6 {
+			unread = append(unread, startRequest(m.vms[0], fmt.Sprint("unread-", i), "/publish/x"))
+		}
+		time.Sleep(300 * time.Millisecond)
+		for range 5 {
+			id, got := m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+			So(got.code, ShouldEqual, http.StatusServiceUnavailable)
+			So(m.vms[1].target.runCount(id), ShouldEqual, 0)
+		}
+		for _, c := range unread {
+			c.Close()
+		}
+		So(m.awaitNothingHeld(), ShouldBeEmpty)
+		_, got = m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		So(got.code, ShouldEqual, http.StatusOK)
+	})
+}
+
 // Guards against a body within the limits of the routes that an idle node refuses
 // each time.
 func TestLargestBodyIsServed(t *testing.T) {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -131,10 +131,12 @@
 		tuning         atomic.Pointer[Tuning]
 		held           memory.Account // request bodies
 		heldAnswers    memory.Account // bodies of answers
-		activeRequests atomic.Int64   // requests from callers in progress
-		catchingUp     atomic.Bool    // a catch-up from a peer is in progress
-		lastVouch      atomic.Bool    // last result of vouching for the local instance
-		drainStart     atomic.Int64   // Unix time in nanoseconds; 0 before shutdown
+		awaited        memory.Account // expected large answers of requests in progress
+		answerSizes    answerSizes
+		activeRequests atomic.Int64 // requests from callers in progress
+		catchingUp     atomic.Bool  // a catch-up from a peer is in progress
+		lastVouch      atomic.Bool  // last result of vouching for the local instance
+		drainStart     atomic.Int64 // Unix time in nanoseconds; 0 before shutdown
 		drain          drainPolicy
 		deadlines      latestDeadline // of the requests accepted
 		refuseNew      atomic.Bool    // the node closes its connections
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -20,6 +20,7 @@
 const (
 	causeOverload  cause = "overload"   // some target on the path is overloaded
 	causeNoRoutes  cause = "no_routes"  // no routes loaded, or they may be outdated
+	causeAnswer    cause = "answer"     // no memory for its answer
 	causeNoRoute   cause = "no_route"   // no route matches
 	causeLeaving   cause = "leaving"    // the node is shutting down
 	causeBadHeader cause = "bad_header" // a header is missing or malformed
--- a/sidecar/tuning.go
+++ b/sidecar/tuning.go
@@ -15,6 +15,7 @@
 	n.tuning.Store(t)
 	n.held.SetLimit(t.MaxHeldBodyBytes)
 	n.heldAnswers.SetLimit(t.MaxHeldAnswerBytes)
+	n.awaited.SetLimit(t.MaxHeldAnswerBytes)
 }
 
 // retryBudget returns the retry budget of a service.
