Use a first configuration whatever its version

The change to versions took a missing configuration for version 0, so version 0 itself was not newer. TestFirstVersionIsUsedWhateverItsNumber failed.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -209,7 +209,7 @@
 // a stale copy must not return to an older one, and the revision at which a source
 // lists a version may change or be unknown.
 func (d *Directory) setRoutes(r *Routes) bool {
-	if r == nil || r.Version <= d.routesVersion() {
+	if r == nil || (d.routes != nil && r.Version <= d.routes.Version) {
 		return false
 	}
 	d.routes = r
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -250,6 +250,16 @@
 	})
 }
 
+// Guards against a first configuration that is not used because its version is the
+// lowest there is.
+func TestFirstVersionIsUsedWhateverItsNumber(t *testing.T) {
+	Convey("Version 0 is in force", t, func() {
+		d := New(DefaultConfig(discardLog))
+		d.Replace(Snapshot{Revision: 1, Routes: testRoutes(t, 0)})
+		So(d.View().Routes, ShouldNotBeNil)
+	})
+}
+
 func TestDeltaEncodingRoundTrip(t *testing.T) {
 	Convey("Decode restores what Encode wrote", t, func() {
 		d := New(DefaultConfig(discardLog))
