--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -130,8 +130,8 @@
 }
 
 // Do sends r to the target at most once and returns the answer. The error wraps
-// ErrNotSent or ErrNoAnswer, and a BoundError if the answer is over a bound. If ctx ends, Do closes the connection, which makes
-// most targets stop working on the request.
+// ErrNotSent or ErrNoAnswer, and a BoundError if the answer is over a bound. If ctx
+// ends, Do closes the connection, which makes most targets stop working on the request.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
 	c, err := p.get(ctx)
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -272,22 +272,23 @@
 // something has arrived since. They would otherwise be found only when used again,
 // and what a target goes on sending takes memory until then.
 func (p *Pool) closeTrailing() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closeIdle(func(c *conn) bool {
-		if !slices.Contains(p.unchecked, c) || !c.trailing() {
-			return false
+	closed := p.closeUnchecked()
+	for range closed {
+		if p.cfg.OnTrailing != nil {
+			p.cfg.OnTrailing()
 		}
-		p.reportTrailing()
-		return true
-	})
-	p.unchecked, p.checking = nil, false
+	}
 }
 
-func (p *Pool) reportTrailing() {
-	if p.cfg.OnTrailing != nil {
-		p.cfg.OnTrailing()
-	}
+// closeUnchecked closes those of the unchecked connections on which something has
+// arrived, and returns their number.
+func (p *Pool) closeUnchecked() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := len(p.idleConns)
+	p.closeIdle(func(c *conn) bool { return slices.Contains(p.unchecked, c) && c.trailing() })
+	p.unchecked, p.checking = nil, false
+	return before - len(p.idleConns)
 }
 
 // idle reports whether the connection is open and nothing has arrived on it. If
@@ -379,10 +380,10 @@
 func (p *Pool) readBody(ctx context.Context, resp *http.Response) ([]byte, *memory.Hold, error) {
 	n := resp.ContentLength
 	switch {
-	case n > maxBody:
-		return nil, nil, errBodyTooLarge
 	case resp.Body == http.NoBody || n == 0:
 		return nil, nil, nil
+	case n > maxBody:
+		return nil, nil, errBodyTooLarge
 	case n > 0 && n <= maxUncounted:
 		body := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, body)
