--- a/targetconn/endless_test.go
+++ b/targetconn/endless_test.go
@@ -50,7 +50,7 @@
 }
 
 // doEndless sends one request to such a target.
-func doEndless(t *testing.T, start, repeated string) (err error, read int64, took, closedAfter time.Duration) {
+func doEndless(t *testing.T, start, repeated string) (read int64, took, closedAfter time.Duration, err error) {
 	closed := make(chan time.Time, 1)
 	p, _ := startTarget(t, endless(start, repeated, closed))
 	var count atomic.Int64
@@ -73,7 +73,7 @@
 	case <-time.After(3 * time.Second):
 		closedAfter = time.Since(began)
 	}
-	return err, count.Load(), took, closedAfter
+	return count.Load(), took, closedAfter, err
 }
 
 // Guards against a target whose answer has no end: its bytes must neither fill the
@@ -97,7 +97,7 @@
 		{"a length over the bound", head + "Content-Length: 100000000000\r\n\r\n", block, BoundBody, maxHead},
 	} {
 		Convey(c.name, t, func() {
-			err, read, took, closedAfter := doEndless(t, c.start, c.repeated)
+			read, took, closedAfter, err := doEndless(t, c.start, c.repeated)
 			So(errors.Is(err, ErrNoAnswer), ShouldBeTrue)
 			var bound *BoundError
 			So(errors.As(err, &bound), ShouldBeTrue)
@@ -113,7 +113,7 @@
 // after its answer.
 func TestConnectionWithBytesAfterAnswerIsClosed(t *testing.T) {
 	Convey("The answer is delivered, the rest is not read, and the connection is closed within a second", t, func() {
-		err, read, _, closedAfter := doEndless(t, response("r1", "whole"), strings.Repeat("x", 32<<10))
+		read, _, closedAfter, err := doEndless(t, response("r1", "whole"), strings.Repeat("x", 32<<10))
 		So(err, ShouldBeNil)
 		So(read, ShouldBeLessThanOrEqualTo, headSlack)
 		So(closedAfter, ShouldBeLessThan, time.Second)
