--- a/sidecar/catchup_test.go
+++ b/sidecar/catchup_test.go
@@ -11,6 +11,7 @@
 	"github.com/oatpin/oatpin/directory"
 	"github.com/oatpin/oatpin/replication"
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 func (v *vm) addr() replication.Addr { return replication.Addr(v.node.cfg.PeerAddr) }
@@ -38,6 +39,30 @@
 	})
 }
 
+// Guards against nodes of the former version, which do not state the version of their
+// routes, that take over a revision without the routes it covers.
+func TestDeltaRequestWithoutVersionGetsRoutes(t *testing.T) {
+	m := newMesh(t, "archiv")
+	n := m.vms[0].node
+	answer := func(fields ...any) directory.Delta {
+		body, err := msgpack.Marshal(fields)
+		So(err, ShouldBeNil)
+		a := n.servePeer(context.Background(), call.Request{ID: "q", Operation: sinceOperation, Body: body})
+		So(a.Status, ShouldEqual, call.OK)
+		x, err := directory.Decode(a.Body)
+		So(err, ShouldBeNil)
+		return x
+	}
+	Convey("The routes are in the answer, though the revision is the same", t, func() {
+		x := answer(n.dir.Revision(), time.Duration(0), nil)
+		So(x.After, ShouldEqual, n.dir.Revision())
+		So(x.Routes, ShouldNotBeNil)
+	})
+	Convey("They are not if the version is stated", t, func() {
+		So(answer(n.dir.Revision(), time.Duration(0), nil, n.dir.Position().Routes).Routes, ShouldBeNil)
+	})
+}
+
 // A draining node must not hold long polls, which would delay its shutdown.
 func TestDrainingNodeReleasesLongPolls(t *testing.T) {
 	m := newMesh(t, "archiv", "archiv")
