--- a/replication/syncer.go
+++ b/replication/syncer.go
@@ -43,8 +43,8 @@
 	// Peers polls other nodes.
 	Peers interface {
 		// Since returns what the node at an address knows beyond a position; the
-		// node may hold the call for up to wait until there is something. An error means that the node cannot be reached or knows
-		// nothing yet.
+		// node may hold the call for up to wait until there is something. An error
+		// means that the node cannot be reached or knows nothing yet.
 		Since(ctx context.Context, at Addr, p directory.Position, wait time.Duration) (directory.Delta, error)
 	}
 
