--- a/memory/buffer.go
+++ b/memory/buffer.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// initialBuffer is the size in bytes of the buffer in which a body begins.
-	initialBuffer = SmallBody
+	// initialBuffer is the size in bytes of the buffer in which a body begins; most end
+	// within it.
+	initialBuffer = 4 << 10
 	// spareRead is how many bytes are read beyond a full buffer before it grows.
 	spareRead = 512
 	// maxEmptyReads is how often in a row a reader may return nothing.
@@ -77,10 +78,10 @@
 	return nil
 }
 
-// grow moves the body into a buffer of at least need bytes: twice as large as
-// before, but no larger than the body if its size is known.
+// grow moves the body into a buffer of at least need bytes, but no larger than the
+// body if its size is known.
 func (b *Buffer) grow(need int, size int64) error {
-	n := max(2*cap(b.buf), initialBuffer)
+	n := nextSize(cap(b.buf))
 	if size >= 0 {
 		n = int(min(int64(n), size))
 	}
@@ -94,6 +95,18 @@
 	return nil
 }
 
+// nextSize returns the size of the buffer after one of a size: few copies are made of a
+// small body, and a larger buffer is twice as large as the one before.
+func nextSize(size int) int {
+	switch {
+	case size == 0:
+		return initialBuffer
+	case size < SmallBody:
+		return SmallBody
+	}
+	return 2 * size
+}
+
 // Release gives the memory back. The body must not be used any more.
 func (b *Buffer) Release() {
 	b.account.Give(int64(cap(b.buf)))
