Look at an idle connection's socket in one place

Two functions repeated how a socket is peeked at. No behaviour changes: a connection that is no socket still counts as idle and without bytes.

--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -298,46 +298,36 @@
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = rc.Read(func(fd uintptr) bool {
-		_, idle = peek(fd)
-		return true
-	})
-	return err == nil && idle
+	_, err := c.peek()
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
 }
 
 // trailing reports whether something has arrived on an idle connection.
 func (c *conn) trailing() bool {
+	n, err := c.peek()
+	return err == nil && n > 0
+}
+
+// peek returns how many bytes, at most one, have arrived at the socket; EAGAIN if it is
+// open and nothing has, also for a connection that is no socket.
+func (c *conn) peek() (n int, err error) {
 	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, syscall.EAGAIN
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	n := 0
-	err = rc.Read(func(fd uintptr) bool {
-		n, _ = peek(fd)
+	readErr := rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && n > 0
-}
-
-// peek returns how many bytes, at most one, have arrived at a socket, and whether it
-// is open and nothing has.
-func peek(fd uintptr) (n int, idle bool) {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+	if readErr != nil {
+		return 0, readErr
+	}
+	return n, err
 }
 
 // roundTrip writes r and reads its answer; reuse is set if the connection can
