Wait for the report of a closed connection in its test

The check is as strict: a report within a second of the request, and no second one. The pool is right as it is: whoever is called must not wait for its lock.

--- a/targetconn/endless_test.go
+++ b/targetconn/endless_test.go
@@ -130,12 +130,13 @@
 			r.ReadByte()
 			closed <- time.Now()
 		})
-		var strays atomic.Int32
-		p.cfg.OnTrailing = func() { strays.Add(1) }
+		reported := make(chan time.Time, 2)
+		p.cfg.OnTrailing = func() { reported <- time.Now() }
 		began := time.Now()
 		_, err := do(p, "r1")
 		So(err, ShouldBeNil)
 		So((<-closed).Sub(began), ShouldBeLessThan, time.Second)
-		So(strays.Load(), ShouldEqual, 1)
+		So((<-reported).Sub(began), ShouldBeLessThan, time.Second)
+		So(reported, ShouldBeEmpty)
 	})
 }
