--- a/memory/account.go
+++ b/memory/account.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
+
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -21,7 +22,7 @@
 )
 
 // ErrNoMemory means that an account has no room for a body.
-var ErrNoMemory = errors.New("no memory for the body")
+var ErrNoMemory = eris.New("no memory for the body")
 
 // Account counts the bytes held for bodies. The zero value and nil have no limit. It
 // is safe for concurrent use.
--- a/memory/buffer.go
+++ b/memory/buffer.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -16,7 +18,7 @@
 )
 
 // ErrStalled means that the reader of a body returned nothing over and over.
-var ErrStalled = errors.New("body sends nothing")
+var ErrStalled = eris.New("body sends nothing")
 
 // Buffer reads one body into memory that it takes from an account before it is
 // allocated. The zero value is an empty body without an account.
