--- a/balance/balance.go
+++ b/balance/balance.go
@@ -163,7 +163,7 @@
 		rateRefusals        int            // in a row, because of the rate limit
 		rateFreeAt          time.Time      // when the rate limit was expected to admit the next request
 		lastOutcome         time.Time
-		failedProbes        int // in a row
+		probeAfter          time.Duration // since lastOutcome; 0 for probeInterval
 	}
 )
 
@@ -319,16 +319,12 @@
 // utilization returns the number of requests at or queued for an instance as
 // a fraction of its slots.
 func (s *instanceState) utilization(in *directory.Instance, now time.Time) float64 {
-	n := max(s.reportedRequests(now)+s.outstanding-s.outstandingAtLoad, s.outstanding)
-	return float64(n) / float64(s.limit(in))
-}
-
-// limit returns how many requests the instance takes at a time.
-func (s *instanceState) limit(in *directory.Instance) int {
-	if s.load.Limit == 0 {
-		return max(in.Slots, 1)
+	limit := s.load.Limit
+	if limit == 0 {
+		limit = max(in.Slots, 1)
 	}
-	return s.load.Limit
+	n := max(s.reportedRequests(now)+s.outstanding-s.outstandingAtLoad, s.outstanding)
+	return float64(n) / float64(limit)
 }
 
 // failureRate returns the higher of the failure rates observed by this node and
--- a/balance/probe.go
+++ b/balance/probe.go
@@ -16,35 +16,32 @@
 
 // considerProbe considers an instance as if it were idle and healthy, if it is due
 // for a probe. What an instance last reported counts until it answers again, so it
-// could stay unused for minutes after it has recovered while others have room.
+// could stay unused for minutes after it has recovered while others have room. Only one
+// request at a time is lost to an instance that doesn't answer.
 func (sel *selection) considerProbe(in *directory.Instance, s *instanceState) {
-	if !sel.probe || !s.isDue(sel.now) {
+	if !sel.probe || s.outstanding > 0 || !s.isDue(sel.now) {
 		return
 	}
-	own := float64(s.outstanding) / float64(s.limit(in))
-	cost := sel.b.placeCost(in, own, sel.now) + jitter*rand.Float64()
+	cost := sel.b.placeCost(in, 0, sel.now) + jitter*rand.Float64()
 	if sel.due == nil || cost < sel.dueCost {
 		sel.due, sel.dueCost = in, cost
 	}
 }
 
-// isDue reports whether an instance is due for a probe. One that never had a
-// request has nothing to be forgotten.
+// isDue reports whether an instance is due for a probe. One that never had a request
+// has told nothing that could keep it unused.
 func (s *instanceState) isDue(now time.Time) bool {
-	return !s.lastOutcome.IsZero() && now.Sub(s.lastOutcome) >= s.probeInterval()
+	return !s.lastOutcome.IsZero() && now.Sub(s.lastOutcome) >= max(s.probeAfter, probeInterval)
 }
 
-func (s *instanceState) probeInterval() time.Duration {
-	return min(probeInterval<<min(s.failedProbes, 10), maxProbeInterval)
-}
-
-// recordProbe records an outcome, and whether it is a failure of a probe.
+// recordProbe records when an outcome came, and when the next probe is due if it is the
+// failure of one.
 func (s *instanceState) recordProbe(o Outcome, now time.Time) {
 	switch {
 	case !o.Failed && !o.Refused && !o.Unreachable:
-		s.failedProbes = 0
+		s.probeAfter = 0
 	case s.isDue(now):
-		s.failedProbes++
+		s.probeAfter = min(2*max(s.probeAfter, probeInterval), maxProbeInterval)
 	}
 	s.lastOutcome = now
 }
--- a/balance/probe_test.go
+++ b/balance/probe_test.go
@@ -89,6 +89,22 @@
 			So(f.run(64*time.Second, failing), ShouldBeBetween, 3, 7)
 		})
 	})
+	synctest.Test(t, func(t *testing.T) {
+		Convey("It gets one read at a time if it doesn't answer", t, func() {
+			f := newProbeFixture(t, failing)
+			time.Sleep(probeInterval)
+			n := 0
+			for range 1000 {
+				c := f.pick(f.former, f.idle)
+				if c.ID == f.former.ID {
+					n++
+					continue
+				}
+				f.b.Done(c.Incarnation(), Outcome{Latency: time.Millisecond, Load: &call.Load{InFlight: 1, Limit: 20, Slowdown: 1}})
+			}
+			So(n, ShouldEqual, 1)
+		})
+	})
 	synctest.Test(t, func(t *testing.T) {
 		Convey("It gets no request that must not be repeated", t, func() {
 			f := newProbeFixture(t, failing)
