--- a/sidecar/policies.go
+++ b/sidecar/policies.go
@@ -25,7 +25,7 @@
 	ReportedHealth bool `ini:"told"`         // weigh the failure rates that nodes report for their instances
 	Latency        bool `ini:"speed"`        // send less to slow instances
 	ShortDeadline  bool `ini:"tight"`        // prefer fast instances for non-idempotent requests with short deadlines
-	Explore        bool `ini:"explore"`      // but send one of them to any healthy instance occasionally
+	Explore        bool `ini:"explore"`      // occasionally try instances that are not the best choice
 	Sample         bool `ini:"sample"`       // balance over a sample of instances instead of all
 	Vouch          bool `ini:"vouch"`        // nodes vouch for instances whose directory entries have gone
 	Quarantine     bool `ini:"quarantine"`   // isolate requests that crash instances
