Skip nodes that have lost the source, and let the next in rank read it

Callers of nodes that reach the store were served by routes that had been moved, for as long as the store turned away the readers of every data centre and served all others: no node that reached it read it.

Cause: a node goes by the position of the readers of its data centre. A reader without the source answers its polls, with the age of its state, so it is never passed over; the age only served to tell 404 from 503. The next in rank, which reach the store, never took over.

A reader whose state is older than 2.5 s (it and its peers have lost the source) is now skipped like one that does not answer, so the nodes that rank next take its place, in the view of each node that asked it. Nodes without recent state ask every 0.3 s in place of 1 s, so that in a data centre with eleven readers they meet one that reads.

Before: TestChangeReachesNodesWhileAllReadersAreRejected, 15 nodes: no node had the second change after 7 s, the age of all was 11.2 s. After: 15, 200 and 1,100 nodes: all after 10 to 320 ms (0.3 s once the takeover has happened, which the first 5 s cover).

What it costs (TestOutageOfSourceKeepsCallsBounded, the store turns away all nodes for 20 s): 15 source calls a second with 15 nodes (7 before), 64 with 200 (11), 57 with 1,100 (54), of 2,000 that the store serves.

--- a/directory/sourcestatus.go
+++ b/directory/sourcestatus.go
@@ -47,6 +47,10 @@
 	return !s.reading && !s.lastCurrent.IsZero() && s.age(now) > maxPeerAge
 }
 
+// SourceLost reports whether the node that sent a delta has reached the source
+// neither itself nor through its peers for too long.
+func (x *Delta) SourceLost() bool { return x.Age > maxPeerAge }
+
 // SourceFailed records that a call of this node to the source failed, and that
 // the source has not answered since the given time. It is safe for concurrent
 // use.
--- a/replication/backoff.go
+++ b/replication/backoff.go
@@ -10,7 +10,8 @@
 	maxPeerBackoff = 8 * time.Second
 )
 
-// peerBackoffs holds the nodes that failed to answer their latest poll.
+// peerBackoffs holds the nodes that failed to answer their latest poll, or had
+// lost the source.
 type peerBackoffs map[Addr]peerBackoff
 
 type peerBackoff struct {
--- a/replication/fleet_test.go
+++ b/replication/fleet_test.go
@@ -10,6 +10,14 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+const (
+	// maxUnstableLag is the time within which a change is in force while the source
+	// rejects some nodes: 2 s, and 5 s more since it is unstable.
+	maxUnstableLag = 7 * time.Second
+	// sourceReadsPerSecond is what the source serves at the planned size.
+	sourceReadsPerSecond = 2000
+)
+
 var fleetSizes = []struct{ nodes, dcs int }{{15, 3}, {200, 5}, {1100, 6}}
 
 // runInFleet runs f in a fleet that has had 20 s to converge.
@@ -276,3 +284,52 @@
 		})
 	}
 }
+
+// The store rejects all readers and serves all other nodes. Guards against nodes
+// that keep old routes because they ask readers that can't know of newer ones.
+func TestChangeReachesNodesWhileAllReadersAreRejected(t *testing.T) {
+	for _, s := range fleetSizes {
+		runInFleet(t, s.nodes, s.dcs, func(t *testing.T, f *fleet) {
+			for dc := range s.dcs {
+				for _, n := range f.readersOf(callgraph.DC(fmt.Sprint("dc-", dc))) {
+					n.link.storeRejects.Store(true)
+				}
+			}
+			time.Sleep(time.Second)
+			calls := f.store.calls.Load()
+			Convey(fmt.Sprint("With ", s.nodes, " nodes a change reaches all, and the next one"), t, func() {
+				for range 2 {
+					_, all := f.propagate(maxUnstableLag)
+					t.Logf("%d nodes: all after %v, %d source calls", s.nodes, all, f.store.calls.Load()-calls)
+					So(f.lagging(), ShouldBeEmpty)
+					time.Sleep(5 * time.Second)
+				}
+			})
+		})
+	}
+}
+
+// The store rejects all nodes for a while. Guards the source against a call of
+// every node at once, and against nodes that stay behind when it is back.
+func TestOutageOfSourceKeepsCallsBounded(t *testing.T) {
+	const outage = 20 * time.Second
+	for _, s := range fleetSizes {
+		runInFleet(t, s.nodes, s.dcs, func(t *testing.T, f *fleet) {
+			calls := f.store.calls.Load()
+			for _, n := range f.order {
+				n.link.storeRejects.Store(true)
+			}
+			time.Sleep(outage)
+			rate := float64(f.store.calls.Load()-calls) / outage.Seconds()
+			for _, n := range f.order {
+				n.link.storeRejects.Store(false)
+			}
+			_, all := f.propagate(3 * time.Second)
+			t.Logf("%d nodes: %.0f source calls/s, all after %v", s.nodes, rate, all)
+			Convey(fmt.Sprint("With ", s.nodes, " nodes calls stay within half of what the source serves, and all have a change in time"), t, func() {
+				So(rate, ShouldBeLessThan, sourceReadsPerSecond/2)
+				So(f.lagging(), ShouldBeEmpty)
+			})
+		})
+	}
+}
--- a/replication/syncer.go
+++ b/replication/syncer.go
@@ -18,9 +18,9 @@
 	// the next within a second. All nodes must have a change within two.
 	pollWait = time.Second
 	// pollWaitSourceDown is the long-poll timeout used by a reader while its
-	// source does not answer. It has to be short: the age of what its followers
-	// know includes this wait, and they consider the source unreachable after
-	// 2.5 s.
+	// source does not answer, and by a follower of readers that have lost it. It
+	// has to be short: the age of what a reader's followers know includes this wait,
+	// and they consider the source unreachable after 2.5 s.
 	pollWaitSourceDown = 300 * time.Millisecond
 	// bootstrapTimeout is how long a starting node tries to get a snapshot from
 	// its seeds before it reads the source itself. It keeps a start of all
@@ -120,8 +120,10 @@
 		s.setReader(ctx, isReader)
 		s.round++
 		switch {
-		case !isReader:
+		case !isReader && !s.dir.SourceUnreachable():
 			s.pollOneOf(ctx, readers, s.round, pollWait)
+		case !isReader:
+			s.pollOneOf(ctx, readers, s.round, pollWaitSourceDown)
 		case s.dir.ReadsSource():
 			s.pollOneOf(ctx, s.readerPeers(), s.round/2, pollWait)
 		default:
@@ -254,7 +256,8 @@
 }
 
 // poll asks a node for what this one does not know and applies the answer. A
-// node that does not answer is skipped until its backoff ends.
+// node that does not answer, or has lost the source, is skipped until its backoff
+// ends.
 func (s *Syncer) poll(ctx context.Context, at Addr, wait time.Duration) {
 	delta, err := s.cfg.Peers.Since(ctx, at, s.position(), wait)
 	if ctx.Err() != nil {
@@ -269,11 +272,24 @@
 		return
 	}
 	s.failedPolls = 0
-	s.backoffs.recordSuccess(at)
+	s.recordAnswer(at, delta)
 	s.peerRoutes.record(delta, time.Now())
 	s.dir.ApplyDelta(delta)
 }
 
+// recordAnswer takes note of a node that answered. One without recent state is
+// skipped like one that does not answer: the source may reject all readers and
+// serve the nodes that rank after them, which then take their place.
+func (s *Syncer) recordAnswer(at Addr, x directory.Delta) {
+	if !x.SourceLost() {
+		s.backoffs.recordSuccess(at)
+		return
+	}
+	if s.backoffs.recordFailure(at, time.Now()) {
+		s.log.WithFields(log.Fields{"peer": at, "age_ms": x.Age.Milliseconds()}).Info("reader_without_source")
+	}
+}
+
 // position returns the position from which to ask another node.
 func (s *Syncer) position() directory.Position {
 	p := s.dir.Position()
