Count the draws of split routes and what each part refused

For a split route nothing told apart whether a part got too little because the draw was uneven or because it refused what was drawn for it. Each draw is counted by route and service, and beside it each request that was not run after it, with the cause. No decision changes.

--- a/directory/routes.go
+++ b/directory/routes.go
@@ -173,10 +173,13 @@
 	return nil, ErrNoRoute
 }
 
+// IsSplit reports whether the requests of the route are split among services.
+func (rt *Route) IsSplit() bool { return len(rt.Shares) > 1 }
+
 // PickService returns the service for a request. draw is a random number in
 // [0,1).
 func (rt *Route) PickService(draw float64) string {
-	if len(rt.Shares) == 1 {
+	if !rt.IsSplit() {
 		return rt.Shares[0].Service
 	}
 	total := 0
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -41,6 +41,7 @@
 	// all attempts; zero for child requests.
 	queueDeadline time.Time
 	answer        *memory.Hold // room for a large answer
+	refused       cause        // why forward refused it; empty if it did not
 }
 
 // serveCaller handles a request from a caller on this VM or from the local
@@ -90,6 +91,9 @@
 		n.limiter.Refund(q.account)
 	}
 	n.stats.observeRequest(q.route, q.Service, a.Status, elapsed)
+	if a.Status == call.NotRun && q.route.IsSplit() {
+		n.stats.countSplitRefusal(q.route.Name, q.Service, q.refused)
+	}
 	var overloadSlotTime time.Duration
 	if a.Load != nil {
 		overloadSlotTime = a.Load.OverloadSlotTime
@@ -165,7 +169,7 @@
 		return nil, refused
 	}
 	q := &request{body: body, answer: answer, route: rt, received: received, deadline: received.Add(timeout), account: origin.account, rank: origin.rank}
-	q.Request = call.Request{ID: id, Service: rt.PickService(n.draw()), Operation: rt.Name, Body: body.Bytes(), HTTP: n.targetRequest(r, routes, rt, origin)}
+	q.Request = call.Request{ID: id, Service: n.pickService(rt), Operation: rt.Name, Body: body.Bytes(), HTTP: n.targetRequest(r, routes, rt, origin)}
 	q.quarantine = n.quarantineStateOf(&q.Request)
 	if !origin.child {
 		q.queueDeadline = received.Add(n.queueWait(n.requestTimes(rt, timeout)))
@@ -277,15 +281,6 @@
 	return min(timeout, time.Duration(ms)*time.Millisecond), nil
 }
 
-// draw returns the next number in [0,1) of a low-discrepancy sequence
-// (multiples of the golden ratio), which keeps the shares of split routes
-// close to their weights over short periods.
-func (n *Node) draw() float64 {
-	const golden = 0.6180339887498949
-	x := float64(n.draws.Add(1)) * golden
-	return x - float64(int64(x))
-}
-
 // refusal is an error response of the node itself to a request that has not
 // been executed.
 type refusal struct {
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -48,12 +48,30 @@
 	rateRefusals int
 }
 
+// refusalCause returns why a request was not run, by its last answer.
+func (att *attempts) refusalCause(last *call.Answer) cause {
+	switch {
+	case len(att.tried) == 0 && att.rateRefusals == 0:
+		return causeNoInstance
+	case att.unreachable > 0 && att.unreachable == len(att.tried):
+		return causeUnreachable
+	case last.Leaving:
+		return causeLeaving
+	case last.RateWait > 0:
+		return causeTargetRate
+	case last.ReachedTarget:
+		return causeTarget
+	}
+	return causeOverload
+}
+
 // forward sends a request to instances of its service until one returns a
 // final answer. ctx ends at the request's deadline or when its caller
 // disconnects.
 func (n *Node) forward(ctx context.Context, q *request) call.Answer {
 	if q.quarantine.stage == quarantine.Quarantined {
 		n.stats.countRefusal(causeQuarantine, q.account)
+		q.refused = causeQuarantine
 		return n.refuseSuspect(q.Request, q.quarantine)
 	}
 	if q.HTTP.Retry {
@@ -87,6 +105,9 @@
 		// route are then refused at the entry node, before they start.
 		n.thresholds.RecordUnreachable(q.route.Name, q.Service)
 	}
+	if last.Status == call.NotRun {
+		q.refused = att.refusalCause(&last)
+	}
 	if last.Status == call.NotRun && last.RetryAfter == 0 {
 		last.RetryAfter = n.retryAfter(n.requestTimes(q.route, time.Until(q.deadline)))
 	}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -127,7 +127,7 @@
 		dropHeadersWithAccounts headerSet
 		metricsServer           *http.Server
 
-		draws          atomic.Uint64 // sequence number of the last draw
+		splits         splitDraws
 		tuning         atomic.Pointer[Tuning]
 		held           memory.Account // request bodies
 		heldAnswers    memory.Account // bodies of answers
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -31,20 +31,31 @@
 	causeQuarantine cause = "quarantine"
 )
 
+// Further causes of refusals after a service was chosen, as counted in
+// oatpin_split_refused_total.
+const (
+	causeNoInstance  cause = "no_instance"  // the service has none that may be used
+	causeUnreachable cause = "unreachable"  // none of the nodes tried was reached
+	causeTargetRate  cause = "target_limit" // the last instance tried was at its rate limit
+	causeTarget      cause = "target"       // the last instance tried refused it
+)
+
 type (
 	cause string
 
 	// stats holds the node's metrics in a set of its own, so that several
 	// nodes in one process do not share them.
 	stats struct {
-		set        *metrics.Set
-		node       string
-		requests   metricCache[requestKey, *metrics.Histogram]
-		attempts   metricCache[attemptKey, *metrics.Histogram]
-		queueWaits metricCache[waitKey, *metrics.Histogram]
-		retries    metricCache[string, *metrics.Counter]
-		refusals   metricCache[refusalKey, *metrics.Counter]
-		sent       *metrics.Counter // requests sent to the local target
+		set           *metrics.Set
+		node          string
+		requests      metricCache[requestKey, *metrics.Histogram]
+		attempts      metricCache[attemptKey, *metrics.Histogram]
+		queueWaits    metricCache[waitKey, *metrics.Histogram]
+		retries       metricCache[string, *metrics.Counter]
+		refusals      metricCache[refusalKey, *metrics.Counter]
+		draws         metricCache[splitKey, *metrics.Counter]
+		splitRefusals metricCache[splitKey, *metrics.Counter]
+		sent          *metrics.Counter // requests sent to the local target
 	}
 
 	requestKey struct {
@@ -58,6 +69,11 @@
 		account account.Name // empty for none
 	}
 
+	splitKey struct {
+		route, service string
+		cause          cause // empty for a draw
+	}
+
 	attemptKey struct {
 		service string
 		status  call.Status
@@ -152,6 +168,21 @@
 	}).Inc()
 }
 
+// countSplitDraw counts a request of a split route for which a service was drawn.
+func (s *stats) countSplitDraw(route, service string) {
+	s.draws.get(splitKey{route: route, service: service}, func() *metrics.Counter {
+		return s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_split_drawn_total{node=%q,route=%q,service=%q}`, s.node, route, service))
+	}).Inc()
+}
+
+// countSplitRefusal counts a request of a split route that was not run after its
+// service had been drawn.
+func (s *stats) countSplitRefusal(route, service string, c cause) {
+	s.splitRefusals.get(splitKey{route: route, service: service, cause: c}, func() *metrics.Counter {
+		return s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_split_refused_total{node=%q,route=%q,service=%q,cause=%q}`, s.node, route, service, c))
+	}).Inc()
+}
+
 // countTargetExit counts an exit of the local target.
 func (s *stats) countTargetExit() {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_target_ends_total{node=%q}`, s.node)).Inc()
