Draw the services of a split route from a sequence of its own with a random start

With many nodes and few requests each, a split route's parts got shares far off their weights, up to all requests for one part.

Cause: one sequence of multiples of the golden ratio served all routes of a node, from the same first number after each start. Those are even over consecutive numbers. A route that takes every 13th, 21st or 34th of them, as call trees make it, moves by 0.03, 0.02 or 0.01 a step and stays on one side of a weight for dozens of requests; and nodes that restarted together all did so on the same side.

Each split route has a sequence of its own now, begun at random, and begun anew with each version of the routes, so that nothing is kept of removed ones.

--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -169,7 +169,7 @@
 		return nil, refused
 	}
 	q := &request{body: body, answer: answer, route: rt, received: received, deadline: received.Add(timeout), account: origin.account, rank: origin.rank}
-	q.Request = call.Request{ID: id, Service: n.pickService(rt), Operation: rt.Name, Body: body.Bytes(), HTTP: n.targetRequest(r, routes, rt, origin)}
+	q.Request = call.Request{ID: id, Service: n.pickService(routes, rt), Operation: rt.Name, Body: body.Bytes(), HTTP: n.targetRequest(r, routes, rt, origin)}
 	q.quarantine = n.quarantineStateOf(&q.Request)
 	if !origin.child {
 		q.queueDeadline = received.Add(n.queueWait(n.requestTimes(rt, timeout)))
