Read settings and policies in one read, and notice changed policies on SIGHUP

An operator who changed [policies] and sent SIGHUP was told that nothing needed a restart, and a section with mistakes was accepted there and ended the process at its next start. At the start the file was read twice, once for each section, so a file that changed in between gave settings of one text and policies of another.

Both sections come from one read now, at the start and on each SIGHUP; changed policies count as in need of a restart, wrong ones refuse the whole file.

TestLoadOptional is TestOptionalSection now, with the same checks on what is read.

--- a/cmd/oatpin/bounds_test.go
+++ b/cmd/oatpin/bounds_test.go
@@ -14,7 +14,7 @@
 // Guards against nodes that keep the bounds of one deployment on all of them.
 func TestBoundsOfThePlatformAreTheDefaults(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.ini")
-	load := func(bounds, keys string) settings.Sidecar {
+	load := func(bounds, keys string) sidecarSettings {
 		text := "[sidecar]\nname=a\ndc=d\nservice=s\ntarget=h:1\ncallers=h:2\npeer=h:3\nready=h:4\nmetrics=h:5\nstore=h:6\n" + keys
 		So(os.WriteFile(path, []byte(text), 0o600), ShouldBeNil)
 		b, err := platform.ParseBounds(bounds)
@@ -24,7 +24,7 @@
 		return s
 	}
 	Convey("Without bounds the defaults hold", t, func() {
-		want := settings.DefaultSidecar()
+		want := sidecarSettings{Sidecar: settings.DefaultSidecar()}
 		got := load("", "")
 		So(got.ShutdownGrace, ShouldEqual, settings.UnknownGrace)
 		So(tuning(got), ShouldResemble, tuning(want))
--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -57,16 +57,12 @@
 		out := timeline.NewAsyncHandler(os.Stdout)
 		defer out.Close()
 		lg := (&log.Logger{Handler: out, Level: log.InfoLevel}).WithField("process", s.Name)
-		p, err := loadPolicies(path)
-		if err != nil {
-			return err
-		}
-		dir := directory.New(p.DirectoryConfig(lg))
+		dir := directory.New(s.policies.DirectoryConfig(lg))
 		store := platform.NewStore(s.Store, lg)
 		n, err := sidecar.New(sidecar.Config{
 			Name: s.Name, DC: s.DC, Service: s.Service, TargetAddr: s.Target, CallerAddr: s.Callers, PeerAddr: s.Peer,
 			ControlAddr: s.Control, Seeds: s.Seeds, ReadyAddr: s.Ready, MetricsAddr: s.Metrics,
-			Headers: platform.Headers, Tuning: tuning(s), Policies: p, ShutdownGrace: s.ShutdownGrace, Quota: bounds.Quota, Directory: dir, Source: store, Log: lg,
+			Headers: platform.Headers, Tuning: tuning(s), Policies: s.policies, ShutdownGrace: s.ShutdownGrace, Quota: bounds.Quota, Directory: dir, Source: store, Log: lg,
 		})
 		if err != nil {
 			return err
@@ -74,18 +70,30 @@
 		limitHeap(s)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		load := func() (settings.Sidecar, error) { return loadSidecar(path, bounds) }
+		load := func() (sidecarSettings, error) { return loadSidecar(path, bounds) }
 		go reloadOnSIGHUP(ctx, hup, load, s, n, lg)
 		return runUntilSignal(n.Serve, n.Shutdown)
 	},
 }
 
-// loadSidecar loads the settings. Bounds of the platform are the defaults of what
-// the file leaves out.
-func loadSidecar(path string, bounds platform.Bounds) (settings.Sidecar, error) {
-	s := defaultsWithin(bounds)
-	err := settings.Load(path, "sidecar", &s)
-	return s, err
+// sidecarSettings are the sections of a sidecar's settings file.
+type sidecarSettings struct {
+	settings.Sidecar
+	policies sidecar.Policies
+}
+
+// loadSidecar loads the settings in one read of the file. Bounds of the platform are
+// the defaults of what the file leaves out; all policies are on by default.
+func loadSidecar(path string, bounds platform.Bounds) (sidecarSettings, error) {
+	s := sidecarSettings{Sidecar: defaultsWithin(bounds), policies: sidecar.DefaultPolicies()}
+	f, err := settings.Read(path)
+	if err != nil {
+		return s, err
+	}
+	if err := f.Section("sidecar", &s.Sidecar); err != nil {
+		return s, err
+	}
+	return s, f.OptionalSection("policies", &s.policies)
 }
 
 // defaultsWithin returns the default settings of a node that keeps the bounds.
@@ -104,15 +112,8 @@
 	return s
 }
 
-// loadPolicies loads the optional [policies] section.
-func loadPolicies(path string) (sidecar.Policies, error) {
-	p := sidecar.DefaultPolicies()
-	err := settings.LoadOptional(path, "policies", &p)
-	return p, err
-}
-
 // tuning returns the settings that a reload applies.
-func tuning(s settings.Sidecar) sidecar.Tuning {
+func tuning(s sidecarSettings) sidecar.Tuning {
 	return sidecar.Tuning{
 		MaxHeldBodyBytes:   int64(s.MemoryMB) << 20 * bodyMemoryNum / bodyMemoryDen,
 		MaxHeldAnswerBytes: int64(s.MemoryMB) << 20 / answerMemoryDivisor,
@@ -122,11 +123,11 @@
 
 // limitHeap keeps garbage within the process's memory. By default the heap doubles
 // before it is collected, which a burst of large bodies does not leave room for.
-func limitHeap(s settings.Sidecar) { debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * heapNum / heapDen) }
+func limitHeap(s sidecarSettings) { debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * heapNum / heapDen) }
 
 // reloadOnSIGHUP reloads the settings on each signal of hup. An invalid file leaves the
 // current settings in effect; changes that need a restart are logged as such.
-func reloadOnSIGHUP(ctx context.Context, hup <-chan os.Signal, load func() (settings.Sidecar, error), s settings.Sidecar, n *sidecar.Node, lg log.Interface) {
+func reloadOnSIGHUP(ctx context.Context, hup <-chan os.Signal, load func() (sidecarSettings, error), s sidecarSettings, n *sidecar.Node, lg log.Interface) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -148,7 +149,7 @@
 }
 
 // withoutTuning returns the settings that only a restart applies.
-func withoutTuning(s settings.Sidecar) settings.Sidecar {
+func withoutTuning(s sidecarSettings) sidecarSettings {
 	s.MemoryMB, s.RetryRatio, s.MinRetries, s.SharedRetries, s.RetryWindow = 0, 0, 0, 0, 0
 	return s
 }
--- a/settings/optional_test.go
+++ b/settings/optional_test.go
@@ -17,12 +17,14 @@
 
 // A misspelled key in an optional section must be an error, or the policy it
 // was meant to switch off would stay on unnoticed.
-func TestLoadOptional(t *testing.T) {
+func TestOptionalSection(t *testing.T) {
 	read := func(text string) (policies, error) {
 		path := filepath.Join(t.TempDir(), "s.ini")
 		So(os.WriteFile(path, []byte(text), 0o644), ShouldBeNil)
 		v := policies{Thresholds: true, Vouch: true}
-		err := LoadOptional(path, "policies", &v)
+		f, err := Read(path)
+		So(err, ShouldBeNil)
+		err = f.OptionalSection("policies", &v)
 		return v, err
 	}
 	Convey("A missing section leaves the defaults; a present one overrides them", t, func() {
@@ -38,6 +40,7 @@
 			_, err := read(text)
 			So(errors.Is(err, ErrInvalid), ShouldBeTrue)
 		}
-		So(errors.Is(LoadOptional(filepath.Join(t.TempDir(), "none.ini"), "policies", &policies{}), ErrInvalid), ShouldBeTrue)
+		_, err := Read(filepath.Join(t.TempDir(), "none.ini"))
+		So(errors.Is(err, ErrInvalid), ShouldBeTrue)
 	})
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,29 +53,46 @@
 	}
 )
 
+// File is a settings file as it was at one read, so that its sections belong
+// together.
+type File struct {
+	path string
+	ini  *ini.File
+}
+
+// Read reads the INI file at path. The error wraps ErrInvalid.
+func Read(path string) (*File, error) {
+	f, err := ini.Load(path)
+	if err != nil {
+		return nil, eris.Wrapf(ErrInvalid, "%s: %v", path, err)
+	}
+	return &File{path: path, ini: f}, nil
+}
+
 // Load reads the named section of the INI file at path into v, a pointer to a
 // struct with ini tags, and validates it. All errors wrap ErrInvalid.
 func Load(path, section string, v any) error {
-	f, err := ini.Load(path)
+	f, err := Read(path)
 	if err != nil {
-		return eris.Wrapf(ErrInvalid, "%s: %v", path, err)
-	}
-	if !f.HasSection(section) {
-		return eris.Wrapf(ErrInvalid, "%s: no [%s] section", path, section)
+		return err
 	}
-	return mapSection(f, path, section, v)
+	return f.Section(section, v)
 }
 
-// LoadOptional is like Load but leaves v unchanged if the section is missing.
-func LoadOptional(path, section string, v any) error {
-	f, err := ini.Load(path)
-	if err != nil {
-		return eris.Wrapf(ErrInvalid, "%s: %v", path, err)
+// Section maps the named section to v, as Load does.
+func (f *File) Section(section string, v any) error {
+	if !f.ini.HasSection(section) {
+		return eris.Wrapf(ErrInvalid, "%s: no [%s] section", f.path, section)
 	}
-	if !f.HasSection(section) {
+	return mapSection(f.ini, f.path, section, v)
+}
+
+// OptionalSection is like Section but leaves v unchanged if the section is missing.
+func (f *File) OptionalSection(section string, v any) error {
+	if !f.ini.HasSection(section) {
 		return nil
 	}
-	return mapSection(f, path, section, v)
+	return mapSection(f.ini, f.path, section, v)
 }
 
 func mapSection(f *ini.File, path, section string, v any) error {
