Apply quotas by the limits that hold when they arrive

An account whose limit was lowered while a node's report was under way could send by the limit before, at that node, until its next report was answered (up to a second): the registry that the report began with was applied after the newer one.

Quotas and the fallback go by the registry at that moment now.

TestQuotaIsAppliedByLimitOfItsArrival: 1,000 requests admitted before, of 10 a second and a burst of 10; within 20 after.

--- a/account/exchange.go
+++ b/account/exchange.go
@@ -86,12 +86,12 @@
 		x.enqueue(x.aggregator.TakeUnforwarded(registry))
 		x.forward(ctx, own, others)
 	})
-	x.loop(ctx, func(registry *Registry) {
+	x.loop(ctx, func(*Registry) {
 		own, others, total := x.cfg.Collectors()
 		if total > 0 {
 			x.limiter.SetNodeCount(total)
 		}
-		x.report(ctx, registry, own, others)
+		x.report(ctx, own, others)
 	})
 }
 
@@ -130,7 +130,7 @@
 
 // report sends this node's usage to a collector. While no account is near its
 // limit it does so only every idleInterval.
-func (x *Exchange) report(ctx context.Context, registry *Registry, own []Source, others [][]Source) {
+func (x *Exchange) report(ctx context.Context, own []Source, others [][]Source) {
 	elapsed := time.Since(x.lastReport)
 	if elapsed < idleInterval-reportInterval/2 && x.failingSince.IsZero() && !x.limiter.NearLimit(elapsed) {
 		return
@@ -147,24 +147,24 @@
 	to, ok := x.collector(own, others)
 	if !ok {
 		x.limiter.Requeue(us)
-		x.reportFailed(registry)
+		x.reportFailed()
 		return
 	}
 	x.switchCollector(ctx, to)
 	if to == x.cfg.Self {
-		x.applyQuotas(registry, x.HandleReport(r))
+		x.applyQuotas(x.HandleReport(r))
 		return
 	}
 	reportCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	quotas, err := x.cfg.Send(reportCtx, to, r)
 	if err == nil {
-		x.applyQuotas(registry, quotas)
+		x.applyQuotas(quotas)
 		return
 	}
 	x.limiter.Requeue(us)
 	x.backOff(to, err)
-	x.reportFailed(registry)
+	x.reportFailed()
 }
 
 // switchCollector sets the current collector and notifies the previous one that
@@ -188,18 +188,23 @@
 	}()
 }
 
-func (x *Exchange) applyQuotas(registry *Registry, quotas []Quota) {
+// applyQuotas applies the quotas by the accounts as they are now: the limits may have
+// changed since the report was sent.
+func (x *Exchange) applyQuotas(quotas []Quota) {
 	x.failingSince = time.Time{}
-	x.limiter.ApplyQuotas(registry, quotas)
+	if registry := x.cfg.Registry(); registry != nil {
+		x.limiter.ApplyQuotas(registry, quotas)
+	}
 }
 
 // reportFailed records a failed report and switches the limiter to fallback
 // mode once reports have failed for fallbackDelay.
-func (x *Exchange) reportFailed(registry *Registry) {
+func (x *Exchange) reportFailed() {
 	if x.failingSince.IsZero() {
 		x.failingSince = time.Now()
 	}
-	if time.Since(x.failingSince) >= fallbackDelay {
+	registry := x.cfg.Registry()
+	if registry != nil && time.Since(x.failingSince) >= fallbackDelay {
 		x.limiter.EnterFallback(registry)
 	}
 }
