Keep asking readers that have lost the source every second time

Nodes send what ended instances to the readers, which all others long-poll. Since readers that have lost the source are skipped, a node beside them would have heard of it only through others, while such a request comes again within milliseconds. Their skips are kept apart from those of nodes that do not answer, and every second poll spares them.

--- a/replication/backoff.go
+++ b/replication/backoff.go
@@ -3,15 +3,14 @@
 import "time"
 
 const (
-	// minPeerBackoff and maxPeerBackoff bound how long a node that did not answer
-	// is skipped. The backoff doubles with each failure. A restart takes 2 s, a
+	// minPeerBackoff and maxPeerBackoff bound how long a node whose poll failed is
+	// skipped. The backoff doubles with each failure. A restart takes 2 s, a
 	// partition several.
 	minPeerBackoff = 2 * time.Second
 	maxPeerBackoff = 8 * time.Second
 )
 
-// peerBackoffs holds the nodes that failed to answer their latest poll, or had
-// lost the source.
+// peerBackoffs holds the nodes whose latest poll failed.
 type peerBackoffs map[Addr]peerBackoff
 
 type peerBackoff struct {
--- a/replication/syncer.go
+++ b/replication/syncer.go
@@ -77,10 +77,11 @@
 		counters counters
 
 		// round counts the polls. Only the goroutine of Run uses round,
-		// failedPolls, backoffs and peerRoutes.
+		// failedPolls, silent, stale and peerRoutes.
 		round       int
-		failedPolls int // in a row
-		backoffs    peerBackoffs
+		failedPolls int          // in a row
+		silent      peerBackoffs // nodes that did not answer
+		stale       peerBackoffs // nodes that have lost the source
 		peerRoutes  peerRoutes
 
 		mu              sync.Mutex
@@ -93,7 +94,7 @@
 
 // New returns a Syncer; Run starts it.
 func New(cfg Config) *Syncer {
-	s := &Syncer{cfg: cfg, dir: cfg.Directory, log: cfg.Log, peerWaiting: make(chan struct{}, 1), round: rand.IntN(minReaders), backoffs: peerBackoffs{}}
+	s := &Syncer{cfg: cfg, dir: cfg.Directory, log: cfg.Log, peerWaiting: make(chan struct{}, 1), round: rand.IntN(minReaders), silent: peerBackoffs{}, stale: peerBackoffs{}}
 	if cfg.Source != nil {
 		var readers func() int
 		if cfg.Peers != nil {
@@ -115,7 +116,7 @@
 		return
 	}
 	for ctx.Err() == nil {
-		readers := s.localReaders()
+		readers := s.localReaders(s.skipped)
 		isReader := s.cfg.Peers == nil || len(readers) == 0 || slices.Contains(readers, s.cfg.Self) || s.isCutOff()
 		s.setReader(ctx, isReader)
 		s.round++
@@ -123,7 +124,7 @@
 		case !isReader && !s.dir.SourceUnreachable():
 			s.pollOneOf(ctx, readers, s.round, pollWait)
 		case !isReader:
-			s.pollOneOf(ctx, readers, s.round, pollWaitSourceDown)
+			s.pollOneOf(ctx, s.localReaders(s.skippedNow), s.round/2, pollWaitSourceDown)
 		case s.dir.ReadsSource():
 			s.pollOneOf(ctx, s.readerPeers(), s.round/2, pollWait)
 		default:
@@ -161,12 +162,27 @@
 	return s.ranking
 }
 
-// localReaders returns the readers of this data centre as seen from this node.
-// Nodes in backoff are skipped, so that the next in rank order, which may be
-// this node, take their place.
-func (s *Syncer) localReaders() []Addr {
+// skipped reports whether a node is passed over as a reader, so that the next in rank
+// order take its place: it does not answer, or it has lost the source, which may
+// reject all readers and serve the others.
+func (s *Syncer) skipped(a Addr) bool {
 	now := time.Now()
-	return s.currentRanking().readers(s.cfg.DC, func(a Addr) bool { return a != s.cfg.Self && s.backoffs.blocked(a, now) })
+	return s.silent.blocked(a, now) || s.stale.blocked(a, now)
+}
+
+// skippedNow is like skipped for this round's poll. In every second one it spares
+// nodes that have lost the source: they still have what nodes report to each other.
+func (s *Syncer) skippedNow(a Addr) bool {
+	if s.round%2 == 0 {
+		return s.silent.blocked(a, time.Now())
+	}
+	return s.skipped(a)
+}
+
+// localReaders returns the readers of this data centre as seen from this node,
+// without those for which skip is true; this node is never skipped.
+func (s *Syncer) localReaders(skip func(Addr) bool) []Addr {
+	return s.currentRanking().readers(s.cfg.DC, func(a Addr) bool { return a != s.cfg.Self && skip(a) })
 }
 
 // OtherReaders returns the readers of all data centres except this node. Some
@@ -227,8 +243,7 @@
 // the remote ones first would cost seconds if they are partitioned. Without any
 // it returns the seeds.
 func (s *Syncer) readerPeers() []Addr {
-	now := time.Now()
-	skip := func(a Addr) bool { return a == s.cfg.Self || s.backoffs.blocked(a, now) }
+	skip := func(a Addr) bool { return a == s.cfg.Self || s.skippedNow(a) }
 	r := s.currentRanking()
 	local := r.readers(s.cfg.DC, skip)
 	var remote []Addr
@@ -266,7 +281,7 @@
 	s.counters.countPeerPoll(err)
 	if err != nil {
 		s.failedPolls++
-		if s.backoffs.recordFailure(at, time.Now()) {
+		if s.silent.recordFailure(at, time.Now()) {
 			s.log.WithField("peer", at).WithError(err).Info("reader_passed_over")
 		}
 		return
@@ -277,15 +292,14 @@
 	s.dir.ApplyDelta(delta)
 }
 
-// recordAnswer takes note of a node that answered. One without recent state is
-// skipped like one that does not answer: the source may reject all readers and
-// serve the nodes that rank after them, which then take their place.
+// recordAnswer takes note of a node that answered.
 func (s *Syncer) recordAnswer(at Addr, x directory.Delta) {
+	s.silent.recordSuccess(at)
 	if !x.SourceLost() {
-		s.backoffs.recordSuccess(at)
+		s.stale.recordSuccess(at)
 		return
 	}
-	if s.backoffs.recordFailure(at, time.Now()) {
+	if s.stale.recordFailure(at, time.Now()) {
 		s.log.WithFields(log.Fields{"peer": at, "age_ms": x.Age.Milliseconds()}).Info("reader_without_source")
 	}
 }
