--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -34,6 +34,12 @@
 	heapDen = 8
 )
 
+// sidecarSettings are the sections of a sidecar's settings file.
+type sidecarSettings struct {
+	settings.Sidecar
+	policies sidecar.Policies
+}
+
 var boundsFlag = &cli.StringFlag{Name: "bounds", Usage: "bounds of the deployment as the platform states them, such as Grace=6s,Drain=2000ms"}
 
 var sidecarCommand = &cli.Command{
@@ -76,12 +82,6 @@
 	},
 }
 
-// sidecarSettings are the sections of a sidecar's settings file.
-type sidecarSettings struct {
-	settings.Sidecar
-	policies sidecar.Policies
-}
-
 // loadSidecar loads the settings in one read of the file. Bounds of the platform are
 // the defaults of what the file leaves out; all policies are on by default.
 func loadSidecar(path string, bounds platform.Bounds) (sidecarSettings, error) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,13 @@
 var ErrInvalid = eris.New("invalid settings")
 
 type (
+	// File is a settings file as it was at one read, so that its sections belong
+	// together.
+	File struct {
+		path string
+		ini  *ini.File
+	}
+
 	// Node is the [node] section: the node of one target VM.
 	Node struct {
 		Instance         string       `ini:"instance"` // name of this instance in the configuration
@@ -53,13 +60,6 @@
 	}
 )
 
-// File is a settings file as it was at one read, so that its sections belong
-// together.
-type File struct {
-	path string
-	ini  *ini.File
-}
-
 // Read reads the INI file at path. The error wraps ErrInvalid.
 func Read(path string) (*File, error) {
 	f, err := ini.Load(path)
