Time a stop by the monotonic clock

Cause: the start of a stop was kept as Unix time. When the clock is set back during the stop, the time since is negative, so the node takes new requests, from callers and from other nodes, up to the end of its grace period, where it cuts them.

The start is kept with its reading of the monotonic clock. TestStopIsTimedByMonotonicClock failed before (no such reading).

--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -85,10 +85,10 @@
 // not.
 func (n *Node) drainingSince() (time.Duration, bool) {
 	at := n.drainStart.Load()
-	if at == 0 {
+	if at == nil {
 		return 0, false
 	}
-	return time.Since(time.Unix(0, at)), true
+	return time.Since(*at), true
 }
 
 // Shutdown stops the node gracefully. It fails the readiness check, continues to
@@ -97,7 +97,7 @@
 // deadlines. The context is ignored.
 func (n *Node) Shutdown(context.Context) {
 	began := time.Now()
-	n.drainStart.Store(began.UnixNano())
+	n.drainStart.Store(&began)
 	n.startDrain()
 	n.log.Info("node_leaving")
 	ctx, cancel := n.serveUntilIdle(began)
--- a/sidecar/drain_test.go
+++ b/sidecar/drain_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 	m := newMesh(t, "archiv")
 	v := m.vms[0]
 	getAfter := func(since time.Duration) int {
-		v.node.drainStart.Store(time.Now().Add(-since).UnixNano())
+		v.node.drainStart.Store(new(time.Now().Add(-since)))
 		_, got := m.get(v, "/read/x")
 		return got.code
 	}
@@ -31,7 +32,7 @@
 		So(getAfter(time.Second), ShouldEqual, http.StatusOK)
 		So(getAfter(1600*time.Millisecond), ShouldEqual, http.StatusServiceUnavailable)
 		So(getAfter(2500*time.Millisecond), ShouldEqual, http.StatusServiceUnavailable)
-		v.node.drainStart.Store(0)
+		v.node.drainStart.Store(nil)
 	})
 }
 
@@ -85,13 +86,13 @@
 	}{{time.Second, "/act/short/", http.StatusOK}, {time.Second, "/act/long/", http.StatusServiceUnavailable}, {time.Second, "/get/long/", http.StatusOK},
 		{7 * time.Second, "/act/short/", http.StatusServiceUnavailable}, {7 * time.Second, "/get/long/", http.StatusServiceUnavailable}} {
 		Convey(fmt.Sprintf("%s %s after the signal", c.path, c.since), t, func() {
-			v.node.drainStart.Store(time.Now().Add(-c.since).UnixNano())
+			v.node.drainStart.Store(new(time.Now().Add(-c.since)))
 			id, got := m.send(context.Background(), v, http.MethodPost, c.path, "", map[string]string{"Deadline-Ms": ""})
 			So(got.code, ShouldEqual, c.code)
 			So(v.target.runCount(id), ShouldEqual, map[int]int{http.StatusOK: 1}[c.code])
 		})
 	}
-	v.node.drainStart.Store(0)
+	v.node.drainStart.Store(nil)
 }
 
 // Guards against a request that runs and is cut because it came, on a connection
@@ -139,3 +140,23 @@
 		So(time.Since(began), ShouldBeLessThan, minDrainTime+time.Second)
 	})
 }
+
+// The clock of a VM is set back while its node stops. Guards against a node that takes
+// the stop for not begun yet: it accepted new requests to the end and cut them.
+func TestStopIsTimedByMonotonicClock(t *testing.T) {
+	m := newMesh(t, "archiv")
+	v := m.vms[0]
+	stopped := make(chan struct{})
+	go func() { v.node.Shutdown(context.Background()); close(stopped) }()
+	for v.node.drainStart.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	Convey("The start of the stop has a reading of the monotonic clock", t, func() {
+		So(hasMonotonic(*v.node.drainStart.Load()), ShouldBeTrue)
+		So(hasMonotonic(time.Unix(0, time.Now().UnixNano())), ShouldBeFalse)
+	})
+	<-stopped
+}
+
+// hasMonotonic reports whether differences to t ignore settings of the wall clock.
+func hasMonotonic(t time.Time) bool { return strings.Contains(t.String(), " m=") }
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -136,13 +136,15 @@
 		activeRequests atomic.Int64 // requests from callers in progress
 		catchingUp     atomic.Bool  // a catch-up from a peer is in progress
 		lastVouch      atomic.Bool  // last result of vouching for the local instance
-		drainStart     atomic.Int64 // Unix time in nanoseconds; 0 before shutdown
-		drain          drainPolicy
-		deadlines      latestDeadline // of the requests accepted
-		refuseNew      atomic.Bool    // the node closes its connections
-		callerConns    *callerConns
-		self           atomic.Pointer[directory.Instance]
-		targetRun      atomic.Pointer[directory.Incarnation] // run of the local target that was last listed
+		// drainStart is nil before shutdown. Its reading of the monotonic clock is kept:
+		// the wall clock may be set during a stop.
+		drainStart  atomic.Pointer[time.Time]
+		drain       drainPolicy
+		deadlines   latestDeadline // of the requests accepted
+		refuseNew   atomic.Bool    // the node closes its connections
+		callerConns *callerConns
+		self        atomic.Pointer[directory.Instance]
+		targetRun   atomic.Pointer[directory.Incarnation] // run of the local target that was last listed
 
 		mu           sync.Mutex
 		retryBudgets map[string]*budget.RetryWindow // by service
@@ -285,7 +287,7 @@
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if n.dir.View().Routes == nil || !n.dir.HasSnapshot() || n.drainStart.Load() != 0 {
+	if n.dir.View().Routes == nil || !n.dir.HasSnapshot() || n.drainStart.Load() != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
