Time the retry budget by the monotonic clock

When the clock of a VM was set by ten seconds or more, its node's retry budgets forgot the retries of the last ten seconds, so as many could be sent once more, at all VMs whose clocks were set at that time.

Cause: the parts of the window were numbered by Unix time. They are numbered from the start of the window now, by the monotonic clock. TestWindowIsTimedByMonotonicClock failed before.

--- a/budget/window.go
+++ b/budget/window.go
@@ -34,6 +34,9 @@
 	// coordination. It is safe for concurrent use.
 	RetryWindow struct {
 		cfg RetryWindowConfig
+		// start keeps its reading of the monotonic clock: a change of the wall clock would
+		// empty the window, and with it the count of retries.
+		start time.Time
 
 		mu      sync.Mutex
 		nodes   int // as set by SetNodeCount; 0 if unknown
@@ -41,14 +44,16 @@
 	}
 
 	bucket struct {
-		index      int64 // time since the Unix epoch in units of the bucket length
+		index      int64 // time since start in units of the bucket length
 		firstTries float64
 		retries    float64
 	}
 )
 
 // NewRetryWindow returns an empty RetryWindow.
-func NewRetryWindow(cfg RetryWindowConfig) *RetryWindow { return &RetryWindow{cfg: cfg} }
+func NewRetryWindow(cfg RetryWindowConfig) *RetryWindow {
+	return &RetryWindow{cfg: cfg, start: time.Now()}
+}
 
 // SetNodeCount sets the number of nodes that share the budget.
 func (w *RetryWindow) SetNodeCount(nodes int) {
@@ -114,7 +119,7 @@
 // current returns the bucket of the current time, cleared if it held an
 // earlier one.
 func (w *RetryWindow) current() *bucket {
-	n := time.Now().UnixNano() / int64(w.cfg.Span/windowBuckets)
+	n := int64(time.Since(w.start) / (w.cfg.Span / windowBuckets))
 	p := &w.buckets[n%windowBuckets]
 	if p.index != n {
 		*p = bucket{index: n}
--- a/budget/window_test.go
+++ b/budget/window_test.go
@@ -78,3 +78,12 @@
 		})
 	}
 }
+
+// The wall clock is set ahead and back. Guards against a window that is emptied by it,
+// so that as many retries are sent once more.
+func TestWindowIsTimedByMonotonicClock(t *testing.T) {
+	Convey("Buckets are numbered from the start of the window, whatever the wall clock shows", t, func() {
+		w := NewRetryWindow(RetryWindowConfig{Span: 10 * time.Second, MinRetries: 2})
+		So(w.current().index, ShouldEqual, 0)
+	})
+}
