--- a/settings/settings.go
+++ b/settings/settings.go
@@ -92,7 +92,7 @@
 	if !f.ini.HasSection(section) {
 		return nil
 	}
-	return mapSection(f.ini, f.path, section, v)
+	return f.Section(section, v)
 }
 
 func mapSection(f *ini.File, path, section string, v any) error {
--- a/sidecar/split.go
+++ b/sidecar/split.go
@@ -32,10 +32,10 @@
 	return service
 }
 
-// pick returns the service for a request on a route.
+// pick returns the service for a request on a route. Only split routes take a draw.
 func (d *splitDraws) pick(v callgraph.Version, rt *directory.Route) string {
 	if !rt.IsSplit() {
-		return rt.Shares[0].Service
+		return rt.PickService(0)
 	}
 	return rt.PickService(d.next(v, rt.Name))
 }
