Tell from where a version of the routes came, and by which one a request is handled

The record of the moved route can't tell a node that lacks a version from one that has it and handles a request by the one before. routes_in_force now has the node that told of the version, its revision and age; try_ended and request_ended have the version of the request; requests sent by an older version than is in force are counted and logged.

--- a/directory/delta.go
+++ b/directory/delta.go
@@ -43,6 +43,7 @@
 		// the node has no routes or cannot tell, as nodes of the former version and
 		// those that learnt their revision from them.
 		RoutesVersion callgraph.Version
+		Peer          string // address of the sending node, for logs; not sent
 	}
 
 	// removedEntry is the removal of an entry and what was known of its
@@ -163,7 +164,7 @@
 func (d *Directory) ApplyDelta(x Delta) bool {
 	d.mu.Lock()
 	defer d.unlock()
-	newRoutes := d.setRoutes(x.Routes)
+	newRoutes := d.setRoutes(x.Routes, routesOrigin{peer: x.Peer, revision: x.Revision, age: x.Age})
 	if x.RoutesVersion > 0 {
 		d.routesUpTo = max(d.routesUpTo, x.Revision)
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -44,6 +44,13 @@
 		Invalid   []InstanceID // instances with invalid entries, as in Change
 	}
 
+	// routesOrigin says from where a version of the routes was learnt.
+	routesOrigin struct {
+		peer     string        // node that told of it; empty for the source
+		revision Revision      // of the answer
+		age      time.Duration // upper bound for the age of the peer's state
+	}
+
 	// Config configures a Directory. With the zero value, removed entries are
 	// dropped at once and the first watch after a change is not spread; Log is
 	// required.
@@ -117,6 +124,7 @@
 func (d *Directory) Replace(s Snapshot) {
 	d.mu.Lock()
 	defer d.unlock()
+	d.setRoutes(s.Routes, routesOrigin{revision: s.Revision})
 	d.replaceLocked(s)
 	d.routesUpTo = max(d.routesUpTo, s.Revision)
 }
@@ -125,7 +133,6 @@
 	if d.hasSnapshot && s.Revision.Era() > d.revision.Era() {
 		d.noteRestore(s.Revision)
 	}
-	d.setRoutes(s.Routes)
 	knownTo := d.revision
 	if s.Revision >= knownTo {
 		knownTo = 0 // the snapshot is not older, so its entries were not removed since
@@ -192,7 +199,7 @@
 	for _, c := range changes {
 		switch {
 		case c.Routes != nil:
-			d.setRoutes(c.Routes)
+			d.setRoutes(c.Routes, routesOrigin{revision: upTo})
 		case c.Instance != nil:
 			d.put(*c.Instance, knownTo)
 		case c.Removed != "":
@@ -208,13 +215,14 @@
 // whether they were. Their version alone decides: a node that was paused or reads
 // a stale copy must not return to an older one, and the revision at which a source
 // lists a version may change or be unknown.
-func (d *Directory) setRoutes(r *Routes) bool {
+func (d *Directory) setRoutes(r *Routes, from routesOrigin) bool {
 	if r == nil || (d.routes != nil && r.Version <= d.routes.Version) {
 		return false
 	}
+	before := d.routesVersion()
 	d.routes = r
 	d.wakeAwaits()
-	d.log.WithField("version", r.Version).Info("routes_in_force")
+	d.log.WithFields(log.Fields{"version": r.Version, "before": before, "peer": from.peer, "revision": from.revision, "age_ms": from.age.Milliseconds()}).Info("routes_in_force")
 	return true
 }
 
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -12,6 +12,7 @@
 	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/admit"
 	"github.com/oatpin/oatpin/call"
+	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/directory"
 	"github.com/oatpin/oatpin/memory"
 )
@@ -32,6 +33,7 @@
 	call.Request
 	body       memory.Buffer // of Request.Body
 	route      *directory.Route
+	version    callgraph.Version // of the routes that route is of
 	deadline   time.Time
 	received   time.Time
 	quarantine quarantineState
@@ -168,7 +170,7 @@
 		refused.account = origin.account
 		return nil, refused
 	}
-	q := &request{body: body, answer: answer, route: rt, received: received, deadline: received.Add(timeout), account: origin.account, rank: origin.rank}
+	q := &request{body: body, answer: answer, route: rt, version: routes.Version, received: received, deadline: received.Add(timeout), account: origin.account, rank: origin.rank}
 	q.Request = call.Request{ID: id, Service: n.pickService(routes, rt), Operation: rt.Name, Body: body.Bytes(), HTTP: n.targetRequest(r, routes, rt, origin)}
 	q.quarantine = n.quarantineStateOf(&q.Request)
 	if !origin.child {
--- a/sidecar/catchup.go
+++ b/sidecar/catchup.go
@@ -116,6 +116,7 @@
 	if err != nil {
 		n.stats.countDecodeError()
 	}
+	delta.Peer = string(addr)
 	return delta, err
 }
 
--- a/sidecar/forward.go
+++ b/sidecar/forward.go
@@ -134,6 +134,7 @@
 // attempt sends the request to one instance and records the result.
 func (n *Node) attempt(ctx context.Context, q *request, in balance.Choice, att *attempts) call.Answer {
 	sent := time.Now()
+	n.recordOlderRoutes(q)
 	a, reachable := n.send(ctx, q, in, att)
 	o := balance.Outcome{Route: q.route.Name, Unreachable: !reachable, Leaving: a.Leaving, Load: a.Load, RateLimit: a.State.RateLimit, UpAt: a.State.UpAt, RateWait: a.RateWait}
 	if a.RateWait > 0 {
@@ -172,7 +173,7 @@
 	if a.Status != call.OK {
 		n.decisions.Log("try_ended", func() log.Fields {
 			f := log.Fields{"id": q.ID, "fingerprint": q.quarantine.fingerprint.String(), "route": q.route.Name, "service": q.Service, "instance": in.ID, "dc": in.DC, "revision": in.Revision,
-				"status": a.Status, "why": a.Reason, "reached": a.ReachedTarget, "took_ms": time.Since(sent).Milliseconds(), "try": len(att.tried)}
+				"status": a.Status, "why": a.Reason, "reached": a.ReachedTarget, "took_ms": time.Since(sent).Milliseconds(), "try": len(att.tried), "route_version": q.version}
 			if a.HTTP != nil {
 				f["code"] = a.HTTP.Code
 			}
@@ -182,6 +183,20 @@
 	return a
 }
 
+// recordOlderRoutes counts and logs that a request is about to be sent by an older
+// version of the routes than is in force, because it waited meanwhile.
+func (n *Node) recordOlderRoutes(q *request) {
+	inForce := n.routesVersion()
+	if inForce <= uint64(q.version) {
+		return
+	}
+	n.stats.countOlderRoutes()
+	n.decisions.Log("sent_by_older_routes", func() log.Fields {
+		return log.Fields{"id": q.ID, "route": q.route.Name, "service": q.Service, "route_version": q.version, "routes": inForce,
+			"waited_ms": time.Since(q.received).Milliseconds()}
+	})
+}
+
 // sightingOf returns which run of an instance stated its state, in an answer to a
 // request that was sent to a listed run. Former versions do not say.
 func sightingOf(sentTo directory.Incarnation, s call.InstanceState) directory.Sighting {
--- a/sidecar/response.go
+++ b/sidecar/response.go
@@ -39,7 +39,7 @@
 	}
 	n.decisions.Log("request_ended", func() log.Fields {
 		return log.Fields{"id": q.ID, "route": q.route.Name, "service": q.Service, "status": a.Status, "code": code, "why": a.Reason,
-			"begun": q.HTTP.Child, "took_ms": time.Since(q.received).Milliseconds(), "come_back_ms": a.RetryAfter.Milliseconds(), "routes": n.routesVersion()}
+			"begun": q.HTTP.Child, "took_ms": time.Since(q.received).Milliseconds(), "come_back_ms": a.RetryAfter.Milliseconds(), "routes": n.routesVersion(), "route_version": q.version}
 	})
 	writeError(w, n.cfg.Headers, q.ID, code, a.RetryAfter, a.Reason)
 }
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -183,6 +183,12 @@
 	}).Inc()
 }
 
+// countOlderRoutes counts a request sent to an instance by an older version of the
+// routes than is in force.
+func (s *stats) countOlderRoutes() {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_sent_by_older_routes_total{node=%q}`, s.node)).Inc()
+}
+
 // countTargetExit counts an exit of the local target.
 func (s *stats) countTargetExit() {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_target_ends_total{node=%q}`, s.node)).Inc()
