Refuse an answer whose head names two requests

An instance that stops within the head of its answer and goes on with another one sends two heads that read as one: the first request's ID and status, the other's length and body. A caller would get the body of another request as whole.

Cause: the ID of an answer was taken from the first field of that name. TestHeadOfTwoAnswersIsErrNoAnswer fails without this, in three of three cases.

Ruled out with TestAnswerThatIsCutAnywhereIsErrNoAnswer, which passes before and after: an answer that is cut at any byte, in its status line, its fields, the blank line, interim answers, chunk sizes or trailers, with GET and POST, is never taken for whole.

--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -58,6 +58,8 @@
 	// ErrNoAnswer means that the request was written at least in part and no
 	// complete answer arrived, so it may have run.
 	ErrNoAnswer = eris.New("no whole answer from the target")
+
+	errMixedHeads = eris.New("head names two requests")
 )
 
 type (
@@ -403,7 +405,9 @@
 }
 
 // readResponse returns the response to r. It skips responses with another
-// request ID, such as a duplicate response to an earlier request.
+// request ID, such as a duplicate response to an earlier request. A head with two IDs
+// is an error: it is that of a response that broke off, continued by the head of
+// another one, whose body follows.
 func (p *Pool) readResponse(c *conn, r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	skipped := int64(maxBody)
@@ -414,8 +418,11 @@
 		if err != nil {
 			return nil, c.in.explain(err)
 		}
+		ids := resp.Header.Values(p.cfg.Headers.RequestID)
 		id := resp.Header.Get(p.cfg.Headers.RequestID)
 		switch {
+		case slices.ContainsFunc(ids, func(other string) bool { return other != id }):
+			return nil, errMixedHeads
 		case resp.StatusCode < http.StatusOK:
 			// Informational; the final response follows.
 			if interim++; interim > maxInterim {
