Take no instance whose values no instance has

What callers saw: with odd entries among those of their service, reads are refused with 503 although other instances can run them. Nodes dialled themselves, or looked up a host name, for entries with an address without a host or with a name.

Cause: an entry's port could be any text and its host too, its slots and its start any number, and what one node took it told the others, which check nothing.

Ruled out: the depth of an entry and numbers too large for their type, which were refused before.

Why it holds: one check for both ways in. What it refuses has no address at which another node could be asked, or no meaning; what was known under that ID stays. The clock of the VM is no bound for a start, as one that is set wrong would refuse all instances. A warm-up of centuries is taken: it slows only that instance.

--- a/directory/codec.go
+++ b/directory/codec.go
@@ -69,17 +69,23 @@
 	return b, eris.Wrap(err, "encode delta")
 }
 
-// Decode parses the output of Encode. The error wraps ErrInvalidRoutes if the
-// routes are invalid.
+// Decode parses the output of Encode. Instances that are not valid are named in
+// Invalid; a node of the former version may take them for valid. The error wraps
+// ErrInvalidRoutes if the routes are invalid.
 func Decode(b []byte) (Delta, error) {
 	var e wireDelta
 	if err := msgpack.Unmarshal(b, &e); err != nil {
 		return Delta{}, eris.Wrap(err, "decode delta")
 	}
 	x := Delta{After: e.After, Removed: e.Removed, Age: e.Age, RoutesVersion: e.HeldVersion, Snapshot: Snapshot{Revision: e.Revision}}
-	for _, in := range e.Instances {
-		x.Instances = append(x.Instances, Instance{ID: in.ID, Started: in.Started, Service: in.Service, DC: in.DC, Addr: in.Addr,
-			Slots: in.Slots, Leaving: in.Leaving, ColdUntil: in.ColdUntil, FirstRevision: in.FirstRevision, Revision: in.Revision})
+	for _, w := range e.Instances {
+		in := Instance{ID: w.ID, Started: w.Started, Service: w.Service, DC: w.DC, Addr: w.Addr,
+			Slots: w.Slots, Leaving: w.Leaving, ColdUntil: w.ColdUntil, FirstRevision: w.FirstRevision, Revision: w.Revision}
+		if in.Validate() != nil {
+			x.Invalid = append(x.Invalid, in.ID)
+			continue
+		}
+		x.Instances = append(x.Instances, in)
 	}
 	if e.Version == 0 {
 		return x, nil
--- a/directory/delta.go
+++ b/directory/delta.go
@@ -207,5 +207,8 @@
 	for i := range x.Instances {
 		cs = append(cs, Change{Instance: &x.Instances[i]})
 	}
+	for _, id := range x.Invalid {
+		cs = append(cs, Change{Invalid: id})
+	}
 	return cs
 }
--- a/directory/instances.go
+++ b/directory/instances.go
@@ -1,12 +1,27 @@
 package directory
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
+	"github.com/rotisserie/eris"
 )
 
+const (
+	// maxSlots is more than the connections that an address can have.
+	maxSlots = 1 << 20
+	// maxStarted is in the year 2248, in milliseconds since the Unix epoch. The clock
+	// of this VM is no bound: one that is set to the past would refuse all instances.
+	maxStarted UnixMilli = 1 << 43
+	// maxNameBytes is more than a key or a name of the source has.
+	maxNameBytes = 512
+)
+
+// ErrInvalidInstance is wrapped by errors about an instance that no node can use.
+var ErrInvalidInstance = eris.New("invalid instance")
+
 type (
 	// InstanceID identifies an instance. An instance may keep it across
 	// restarts; see Incarnation.
@@ -54,6 +69,27 @@
 	}
 )
 
+// Validate returns an error that wraps ErrInvalidInstance if the instance has values
+// that no instance has, as an entry of another program may.
+func (in *Instance) Validate() error {
+	for _, name := range []string{string(in.ID), in.Service, string(in.DC)} {
+		if name == "" || len(name) > maxNameBytes {
+			return eris.Wrap(ErrInvalidInstance, "empty or overlong name")
+		}
+	}
+	switch addr, err := netip.ParseAddrPort(in.Addr); {
+	case err != nil || addr.Port() == 0 || addr.Addr().Zone() != "":
+		return eris.Wrap(ErrInvalidInstance, "address is not an IP address and a port")
+	case addr.Addr().IsUnspecified() || addr.Addr().IsMulticast():
+		return eris.Wrap(ErrInvalidInstance, "address is not that of one VM")
+	case in.Slots < 1 || in.Slots > maxSlots:
+		return eris.Wrapf(ErrInvalidInstance, "%d slots", in.Slots)
+	case in.Started < 0 || in.Started > maxStarted:
+		return eris.Wrapf(ErrInvalidInstance, "started at %d", in.Started)
+	}
+	return nil
+}
+
 // newView omits instances of services that the routes do not name, because such
 // an entry could hide a valid instance at the same address.
 func newView(routes *Routes, instances map[InstanceID]Instance) *View {
--- a/sidecar/catchup.go
+++ b/sidecar/catchup.go
@@ -117,6 +117,9 @@
 		n.stats.countDecodeError()
 	}
 	delta.Peer = string(addr)
+	if len(delta.Invalid) > 0 {
+		n.decisions.Log("peer_instances_refused", func() log.Fields { return log.Fields{"peer": addr, "instances": len(delta.Invalid)} })
+	}
 	return delta, err
 }
 
