--- /dev/null
+++ b/sidecar/cut_answer_test.go
@@ -0,0 +1,65 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// serveCut answers each request with the given bytes and closes its connection, and
+// counts the requests that it has read.
+func serveCut(l net.Listener, answer string, read *atomic.Int64) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			read.Add(1)
+			io.WriteString(c, answer)
+		}()
+	}
+}
+
+// cutAnswers are answers that break off.
+var cutAnswers = []string{
+	"", "HTTP/1.1 2", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nSignature: s\r\n", "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 12",
+	"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 12\r\n\r", "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 12\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 12\r\n\r\ntwelve",
+	"HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n6\r\ntwelve\r\n0\r\n",
+	"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nSignature: s\r\nContent-Le",
+	"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Le",
+}
+
+// Guards against a caller that gets an answer cut within its head as a success, or as a
+// promise that the request has not run, and against a second run of one that must not
+// be repeated.
+func TestCutAnswerIsNeitherSuccessNorRefusal(t *testing.T) {
+	for _, answer := range cutAnswers {
+		Convey(strings.NewReplacer("\r", `\r`, "\n", `\n`).Replace(answer), t, func() {
+			var read atomic.Int64
+			m := &mesh{t: t, port: freePort(t)}
+			m.serve = func(l net.Listener, _ string) { serveCut(l, answer, &read) }
+			m.populate([]string{"archiv", "archiv"})
+			_, got := m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+			So(got.err, ShouldBeNil)
+			So(got.code, ShouldEqual, http.StatusBadGateway)
+			So(read.Load(), ShouldEqual, 1)
+			_, got = m.get(m.vms[0], "/read/x")
+			So(got.err, ShouldBeNil)
+			So(got.code, ShouldEqual, http.StatusBadGateway)
+			So(read.Load(), ShouldEqual, 3) // repeated once, at the other instance
+		})
+	}
+}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -140,12 +141,22 @@
 	d.startTarget(v, string(v.instance.ID))
 }
 
+// foreignEntry returns an entry of another program that looks like that of an instance.
+func foreignEntry(addr, service, slots string) string {
+	return `{"Address":"` + addr + `","Info":{"Service":"` + service + `","Version":"v1","Zone":"nord","Slots":` + slots +
+		`},"Status":{"State":"ready","Seq":1,"ColdLeft":"0ms"}}`
+}
+
 // writeForeignEntries adds entries of another program to those of the instances.
 func writeForeignEntries(d *deployment, v *vm, r *rand.Rand) {
-	for i, text := range []string{"\xff", `{"Address":"` + v.instance.Addr + `"}`, `{"Address":"` + v.instance.Addr +
-		`","Info":{"Service":"nobody","Version":"v1","Zone":"nord","Slots":1},"Status":{"State":"ready","Seq":1,"ColdLeft":"0ms"}}`} {
+	for i, text := range []string{"\xff", `{"Address":"` + v.instance.Addr + `"}`, foreignEntry(v.instance.Addr, "nobody", "1")} {
 		d.store.PutRawEntry(directory.InstanceID(fmt.Sprintf("foreign-%d-%d", r.IntN(5), i)), text)
 	}
+	host, _, _ := strings.Cut(v.instance.Addr, ":")
+	for i, text := range []string{strings.Repeat("[", 20000), foreignEntry(host+":99999", v.instance.Service, "1"),
+		foreignEntry(":http", v.instance.Service, "1"), foreignEntry(host+":1", v.instance.Service, "9223372036854775807")} {
+		d.store.PutRawEntry(directory.InstanceID(fmt.Sprint("odd-", i)), text)
+	}
 }
 
 // sendPoisonRequests sends the same poison request to random nodes for a period.
