--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -124,7 +124,7 @@
 		return nil, refused
 	}
 	n.deadlines.record(received.Add(m.timeout))
-	origin, refused := n.admit(r, m, received)
+	origin, refused := n.admit(r, m)
 	if refused != nil {
 		return nil, refused
 	}
@@ -153,7 +153,7 @@
 
 // admit determines where a request comes from, authenticates a new one and applies
 // admission control to it.
-func (n *Node) admit(r *http.Request, m routing, received time.Time) (requestOrigin, *refusal) {
+func (n *Node) admit(r *http.Request, m routing) (requestOrigin, *refusal) {
 	id := n.idOf(r)
 	keyed := m.routes.Accounts != nil && r.Header[n.cfg.Headers.APIKey] != nil
 	origin := n.originOf(id, m.route, keyed)
@@ -174,11 +174,12 @@
 	return origin, nil
 }
 
-// withdraw takes back what a request that was counted against its account took, as
-// it is refused.
+// withdraw gives back to the account what a request took that is refused after all.
 func (n *Node) withdraw(origin requestOrigin, refused *refusal) *refusal {
 	n.limiter.Refund(origin.account)
-	refused.account = origin.account
+	if refused.account == nil {
+		refused.account = origin.account
+	}
 	return refused
 }
 
