--- a/sidecar/body_wait_test.go
+++ b/sidecar/body_wait_test.go
@@ -43,11 +43,10 @@
 		u.code <- resp.StatusCode
 	}()
 	io.WriteString(pw, "first ")
-	for range 200 {
-		if v.node.activeRequests.Load() > 0 {
-			break
+	for deadline := time.Now().Add(2 * time.Second); v.node.activeRequests.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			m.t.Fatal("the node does not take the request")
 		}
-		time.Sleep(time.Millisecond)
 	}
 	return u
 }
--- a/sidecar/cut_answer_test.go
+++ b/sidecar/cut_answer_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -13,25 +12,6 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// serveCut answers each request with the given bytes and closes its connection, and
-// counts the requests that it has read.
-func serveCut(l net.Listener, answer string, read *atomic.Int64) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer c.Close()
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-				return
-			}
-			read.Add(1)
-			io.WriteString(c, answer)
-		}()
-	}
-}
-
 // cutAnswers are answers that break off.
 var cutAnswers = []string{
 	"", "HTTP/1.1 2", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nSignature: s\r\n", "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 12",
@@ -50,7 +30,12 @@
 		Convey(strings.NewReplacer("\r", `\r`, "\n", `\n`).Replace(answer), t, func() {
 			var read atomic.Int64
 			m := &mesh{t: t, port: freePort(t)}
-			m.serve = func(l net.Listener, _ string) { serveCut(l, answer, &read) }
+			m.serve = func(l net.Listener, _ string) {
+				serveEach(l, func(c net.Conn) {
+					read.Add(1)
+					io.WriteString(c, answer)
+				})
+			}
 			m.populate([]string{"archiv", "archiv"})
 			_, got := m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
 			So(got.err, ShouldBeNil)
--- a/sidecar/endless_test.go
+++ b/sidecar/endless_test.go
@@ -15,9 +15,9 @@
 
 var block = strings.Repeat("x", 32<<10)
 
-// serveEndless answers each request with start and then with repeated until its
-// connection is closed.
-func serveEndless(l net.Listener, start, repeated string) {
+// serveEach calls answer once for each connection, after one request has been read, and
+// then closes it.
+func serveEach(l net.Listener, answer func(c net.Conn)) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -28,14 +28,22 @@
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 				return
 			}
-			_, err := io.WriteString(c, start)
-			for err == nil {
-				_, err = io.WriteString(c, repeated)
-			}
+			answer(c)
 		}()
 	}
 }
 
+// serveEndless answers each request with start and then with repeated until its
+// connection is closed.
+func serveEndless(l net.Listener, start, repeated string) {
+	serveEach(l, func(c net.Conn) {
+		_, err := io.WriteString(c, start)
+		for err == nil {
+			_, err = io.WriteString(c, repeated)
+		}
+	})
+}
+
 // endlessAnswers are answers that begin with start and go on with repeated.
 var endlessAnswers = []struct{ name, start, repeated string }{
 	{"a status line", "HTTP/1.1 200 ", block},
