--- a/cmd/oatpin/descriptors_test.go
+++ b/cmd/oatpin/descriptors_test.go
@@ -20,7 +20,7 @@
 func TestNodeWithFewDescriptorsServesOn(t *testing.T) {
 	cl := newCluster(t)
 	cl.descriptors = fewDescriptors
-	vm := cl.sidecars("127.0.22", nil, "front")[0]
+	vm := cl.sidecars(sidecarsConfig{network: "127.0.22", services: []string{"front"}, target: slowTarget, limits: smallBodies, memoryMB: usualMemoryMB})[0]
 	Convey("Idle callers are closed for others; peers and readiness are answered", t, func() {
 		for range idleCallers {
 			c, err := net.DialTimeout("tcp", vm.callers, time.Second)
--- a/cmd/oatpin/grace_test.go
+++ b/cmd/oatpin/grace_test.go
@@ -21,42 +21,56 @@
 	// SIGTERM and SIGKILL.
 	longWork    = 7 * time.Second
 	longTimeout = 9 * time.Second
+	// usualMemoryMB is the memory of a node that is not short of it.
+	usualMemoryMB = 128
 )
 
-// sidecarPair is the sidecar process of one VM and a target that takes longWork
-// for each request.
-type sidecarPair struct {
-	callers, peer, ready string // host:port
-	proc                 *exec.Cmd
-}
+var smallBodies = directory.Limits{BodyBytes: 1000}
+
+type (
+	// sidecarsConfig describes a deployment of one VM a service.
+	sidecarsConfig struct {
+		network  string   // the first three numbers of the addresses
+		args     []string // of each sidecar
+		services []string // each has the route /SERVICE/
+		target   func(id string) http.Handler
+		limits   directory.Limits
+		memoryMB int // of each sidecar
+	}
+
+	// sidecarPair is the sidecar process of one VM and its target.
+	sidecarPair struct {
+		callers, peer, ready, metrics, control string // host:port
+		proc                                   *exec.Cmd
+	}
+)
 
-// sidecars starts, on addresses of network, a store and for each service a target
-// and a sidecar with the given arguments. Each service has the route /SERVICE/.
-func (cl *cluster) sidecars(network string, args []string, services ...string) []sidecarPair {
+// sidecars starts a store and the VMs of a deployment.
+func (cl *cluster) sidecars(cfg sidecarsConfig) []sidecarPair {
 	store := platform.NewFakeStore()
 	var routes []directory.Route
-	for _, s := range services {
+	for _, s := range cfg.services {
 		routes = append(routes, directory.Route{Name: s, Host: "h", Prefix: "/" + s + "/", MaxInstances: 1, Timeout: longTimeout, TargetLatency: longTimeout,
 			Shares: []directory.Share{{Service: s, Weight: 1}}})
 	}
-	if err := store.PutRoutes(1, directory.Limits{BodyBytes: 1000}, routes); err != nil {
+	if err := store.PutRoutes(1, cfg.limits, routes); err != nil {
 		cl.t.Fatal(err)
 	}
 	storeAddr := cl.serve("127.0.0.1", store)
-	p := freePorts(cl.t, 4)
+	p := freePorts(cl.t, 5)
 	var pairs []sidecarPair
-	for i, s := range services {
-		ip := fmt.Sprint(network, ".", 2+i)
+	for i, s := range cfg.services {
+		ip := fmt.Sprint(cfg.network, ".", 2+i)
 		at := func(port int) string { return fmt.Sprint(ip, ":", p[port]) }
 		id := "i-" + s
-		target := cl.serve(ip, slowTarget(id))
+		target := cl.serve(ip, cfg.target(id))
 		in := directory.Instance{ID: directory.InstanceID(id), Service: s, DC: callgraph.DC("dc"), Addr: target, Slots: 10}
 		if err := store.PutInstance(in); err != nil {
 			cl.t.Fatal(err)
 		}
-		proc := cl.start(ip, "sidecar", fmt.Sprintf("[sidecar]\nname=%s\ndc=dc\nservice=%s\ntarget=%s\ncallers=%s\npeer=%s\nready=%s\nmetrics=%s\nstore=%s\n",
-			s, s, target, at(0), at(1), at(2), at(3), storeAddr), at(0), args...)
-		pairs = append(pairs, sidecarPair{callers: at(0), peer: at(1), ready: at(2), proc: proc})
+		proc := cl.start(ip, "sidecar", fmt.Sprintf("[sidecar]\nname=%s\ndc=dc\nservice=%s\ntarget=%s\ncallers=%s\npeer=%s\nready=%s\nmetrics=%s\ncontrol=%s\nstore=%s\nmemory_mb=%d\n",
+			s, s, target, at(0), at(1), at(2), at(3), at(4), storeAddr, cfg.memoryMB), at(0), cfg.args...)
+		pairs = append(pairs, sidecarPair{callers: at(0), peer: at(1), ready: at(2), metrics: at(3), control: at(4), proc: proc})
 		if !cl.waitStatus("http://"+at(2)+"/", http.StatusOK) {
 			cl.t.Fatalf("%s is not ready", s)
 		}
@@ -93,8 +107,10 @@
 // deployment, although instances are at work on them and its own is longer.
 func TestStoppingNodeFinishesWhatItHasTaken(t *testing.T) {
 	cl := newCluster(t)
-	untold := cl.sidecars("127.0.20", nil, "front", "back", "other")
-	told := cl.sidecars("127.0.21", []string{"--bounds=SeedLag=3s,Grace=12s,Later=x"}, "front", "back", "other")
+	cfg := sidecarsConfig{network: "127.0.20", services: []string{"front", "back", "other"}, target: slowTarget, limits: smallBodies, memoryMB: usualMemoryMB}
+	untold := cl.sidecars(cfg)
+	cfg.network, cfg.args = "127.0.21", []string{"--bounds=SeedLag=3s,Grace=12s,Later=x"}
+	told := cl.sidecars(cfg)
 	t.Run("not told its grace period", func(t *testing.T) {
 		t.Parallel()
 		stopDuringLongRequests(t, untold)
