Count the memory of callers' heads, and apply the limits in force to them

Callers saw a node end: it ran out of memory. Heads counted nowhere. One in many short lines takes some fifteen times its bytes in the library's map, 64 KB were allowed whatever the routes state, and half of the descriptors could hold one each, unfinished for 30 s; whole heads within the limit took as much again for each request in progress. A bound for each connection can't hold both: 2,050 of them leave 100 KB each, and a head within the limit takes 250 KB.

Connections from callers are now those of the new package inbound (what was caller_conn and caller_conns moved there). A connection counts a head as it is read against one account, a sixteenth of memory_mb, and keeps it counted until the request has ended. Without room, the largest unfinished head gives way to a smaller one, and large heads leave a quarter, so an ordinary one gets in beside a crowd; else the answer is 503 with Retry-After. HeaderBytes, HeaderTimeout and IdleTimeout of the routes in force are applied to each head (431, 408, and a close), with 64 KB, 30 s and 60 s where they state none, as before.

TestRequestOnConnectionClosedForAnotherDoesNotRun moved with the code; it calls the server's handler in place of the node's, whose check it was.

--- a/cmd/oatpin/sidecar.go
+++ b/cmd/oatpin/sidecar.go
@@ -27,6 +27,8 @@
 	// answerMemoryDivisor limits the bodies of answers to a fraction of the memory. The
 	// largest answer fits into a process of 284 MB.
 	answerMemoryDivisor = 4
+	// headMemoryDivisor limits the heads of callers' requests to a fraction of the memory.
+	headMemoryDivisor = 16
 	// heapNum / heapDen is the fraction of the process's memory from which on
 	// garbage is collected more often. The rest is for stacks, buffers of the
 	// system and what is allocated during a collection.
@@ -117,6 +119,7 @@
 	return sidecar.Tuning{
 		MaxHeldBodyBytes:   int64(s.MemoryMB) << 20 * bodyMemoryNum / bodyMemoryDen,
 		MaxHeldAnswerBytes: int64(s.MemoryMB) << 20 / answerMemoryDivisor,
+		MaxHeldHeadBytes:   int64(s.MemoryMB) << 20 / headMemoryDivisor,
 		Retries:            budget.RetryWindowConfig{Span: s.RetryWindow, Ratio: s.RetryRatio, MinRetries: s.MinRetries, SharedRetries: s.SharedRetries},
 	}
 }
--- a/sidecar/caller_conn_bench_test.go
+++ b/inbound/conn_bench_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package inbound
 
 import (
 	"io"
@@ -6,18 +6,21 @@
 	"testing"
 )
 
-// BenchmarkCallerConnWrite measures what the bound on stalled writes adds to the
+// BenchmarkConnWrite measures what the bound on stalled writes adds to the
 // write of a small answer.
-func BenchmarkCallerConnWrite(b *testing.B) {
+func BenchmarkConnWrite(b *testing.B) {
 	for _, c := range []struct {
 		name string
 		wrap func(net.Conn) net.Conn
 	}{
-		{"bounded", func(c net.Conn) net.Conn { return callerConn{c} }},
+		{"bounded", func(c net.Conn) net.Conn { return &conn{Conn: c} }},
 		{"plain", func(c net.Conn) net.Conn { return c }},
 	} {
 		b.Run(c.name, func(b *testing.B) {
-			l := listenOn(b, "127.0.0.1")
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
 			defer l.Close()
 			go func() {
 				if peer, err := l.Accept(); err == nil {
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -48,9 +48,6 @@
 // serveCaller handles a request from a caller on this VM or from the local
 // target.
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
-	if n.callerConns.closedBefore(r) {
-		panic(http.ErrAbortHandler)
-	}
 	n.activeRequests.Add(1)
 	defer n.activeRequests.Add(-1)
 	if _, draining := n.drainingSince(); draining {
--- a/sidecar/drain.go
+++ b/sidecar/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/oatpin/oatpin/inbound"
 )
 
 const (
@@ -103,7 +104,7 @@
 	ctx, cancel := n.serveUntilIdle(began)
 	defer cancel()
 	close(n.stop)
-	time.AfterFunc(closeTimeout, n.callerConns.closeUnused)
+	time.AfterFunc(closeTimeout, n.callerServer.CloseUnused)
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.log.WithError(err).Warn("callers_cut")
 	}
@@ -147,7 +148,7 @@
 	if limit, known := n.drain.limit(); known {
 		return began.Add(limit)
 	}
-	return n.deadlines.latest(began.Add(noticePeriod)).Add(answerStallTimeout)
+	return n.deadlines.latest(began.Add(noticePeriod)).Add(inbound.AnswerStallTimeout)
 }
 
 // idle reports whether no request is in progress.
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -16,6 +16,7 @@
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/inbound"
 	"github.com/oatpin/oatpin/memory"
 	"github.com/oatpin/oatpin/quarantine"
 	"github.com/oatpin/oatpin/replication"
@@ -31,15 +32,12 @@
 	// initialSlots is the slot limit of a target that is not in the directory
 	// yet.
 	initialSlots = 16
-	// headerTimeout bounds the time to read a request's header. It exceeds what
-	// deployments allow callers, so that none that stays within it is cut.
-	headerTimeout = 30 * time.Second
-	// idleTimeout closes idle caller connections. It exceeds the idle
-	// timeouts of callers so that they never reuse a connection that is being
-	// closed here.
-	idleTimeout = time.Minute
-	// maxHeaderBytes bounds the size of a request's header.
-	maxHeaderBytes = 64 << 10
+	// callerDescriptorDivisor is the part of the process's descriptors that
+	// connections from callers may use. The rest is for other nodes, the target,
+	// the directory source and readiness checks.
+	callerDescriptorDivisor = 2
+	// assumedDescriptors is the descriptor limit if the system states none.
+	assumedDescriptors = 1024
 )
 
 type (
@@ -80,7 +78,10 @@
 		// request holds its body until its answer has come: in one bound, each could
 		// wait for the other.
 		MaxHeldBodyBytes, MaxHeldAnswerBytes int64
-		Retries                              budget.RetryWindowConfig // retry budget of each service
+		// MaxHeldHeadBytes bounds what the heads of callers' requests take in memory; 0
+		// means no bound.
+		MaxHeldHeadBytes int64
+		Retries          budget.RetryWindowConfig // retry budget of each service
 	}
 
 	// Node is a running sidecar. New builds one.
@@ -120,7 +121,7 @@
 		peerPort     string
 		stats        *stats
 		peerServer   wire.Server
-		callerServer *http.Server
+		callerServer *inbound.Server
 		readyServer  *http.Server
 		dropHeaders  headerSet
 		// dropHeadersWithAccounts applies if the routes have client accounts.
@@ -138,13 +139,13 @@
 		lastVouch      atomic.Bool  // last result of vouching for the local instance
 		// drainStart is nil before shutdown. Its reading of the monotonic clock is kept:
 		// the wall clock may be set during a stop.
-		drainStart  atomic.Pointer[time.Time]
-		drain       drainPolicy
-		deadlines   latestDeadline // of the requests accepted
-		refuseNew   atomic.Bool    // the node closes its connections
-		callerConns *callerConns
-		self        atomic.Pointer[directory.Instance]
-		targetRun   atomic.Pointer[directory.Incarnation] // run of the local target that was last listed
+		drainStart atomic.Pointer[time.Time]
+		drain      drainPolicy
+		deadlines  latestDeadline // of the requests accepted
+		refuseNew  atomic.Bool    // the node closes its connections
+		heads      inbound.Heads  // of requests from callers
+		self       atomic.Pointer[directory.Instance]
+		targetRun  atomic.Pointer[directory.Incarnation] // run of the local target that was last listed
 
 		mu           sync.Mutex
 		retryBudgets map[string]*budget.RetryWindow // by service
@@ -183,7 +184,6 @@
 		peerCursors:  cursorTable{cursors: map[replication.Addr]quarantine.Cursor{}},
 		stop:         make(chan struct{}),
 		drain:        drainPolicy{grace: cfg.ShutdownGrace},
-		callerConns:  newCallerConns(maxDescriptors() / callerDescriptorDivisor),
 
 		dropHeaders:             newDropHeaders(cfg.Headers, false),
 		dropHeadersWithAccounts: newDropHeaders(cfg.Headers, true),
@@ -208,10 +208,11 @@
 	n.setTuning(&cfg.Tuning)
 	n.peers = wire.NewPool(wire.PoolConfig{Log: cfg.Log, OnVersion: n.onPeerRevision, DisableSuspicion: !cfg.Policies.Suspicion, Memory: &n.heldAnswers})
 	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log, Memory: &n.held}
-	n.callerServer = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: n.callerConns.track, ConnContext: withCallerConn}
-	n.readyServer = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
-	n.metricsServer = &http.Server{Handler: n.stats, ReadHeaderTimeout: headerTimeout}
-	for _, s := range []*http.Server{n.callerServer, n.readyServer, n.metricsServer} {
+	n.callerServer = inbound.NewServer(inbound.Config{Handler: http.HandlerFunc(n.serveCaller), MaxConns: maxDescriptors() / callerDescriptorDivisor, UnusedTime: inbound.DefaultUnusedTime,
+		Limits: n.callerLimits, Heads: &n.heads, OnRefused: n.recordRefusedHead, ErrorLog: newServerLog(cfg.Log)})
+	n.readyServer = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: inbound.DefaultLimits.HeadTimeout}
+	n.metricsServer = &http.Server{Handler: n.stats, ReadHeaderTimeout: inbound.DefaultLimits.HeadTimeout}
+	for _, s := range []*http.Server{n.readyServer, n.metricsServer} {
 		s.ErrorLog = newServerLog(cfg.Log)
 	}
 	n.dir.OnChange(n.applyView)
@@ -240,14 +241,14 @@
 	for _, s := range []struct {
 		addr  string
 		serve func(net.Listener) error
-	}{{n.cfg.PeerAddr, n.peerServer.Serve}, {n.cfg.CallerAddr, n.serveCallers}, {n.cfg.ReadyAddr, n.readyServer.Serve}, {n.cfg.MetricsAddr, n.metricsServer.Serve}} {
+	}{{n.cfg.PeerAddr, n.peerServer.Serve}, {n.cfg.CallerAddr, n.callerServer.Serve}, {n.cfg.ReadyAddr, n.readyServer.Serve}, {n.cfg.MetricsAddr, n.metricsServer.Serve}} {
 		if err := listen(s.addr, s.serve); err != nil {
 			return err
 		}
 	}
 	go n.peers.KeepAlive(n.stop)
 	go n.runBackground()
-	n.log.WithFields(log.Fields{"callers": n.cfg.CallerAddr, "peer": n.cfg.PeerAddr, "service": n.cfg.Service, "grace_ms": n.cfg.ShutdownGrace.Milliseconds(), "max_callers": n.callerConns.limit}).Info("node_started")
+	n.log.WithFields(log.Fields{"callers": n.cfg.CallerAddr, "peer": n.cfg.PeerAddr, "service": n.cfg.Service, "grace_ms": n.cfg.ShutdownGrace.Milliseconds(), "max_callers": n.callerServer.MaxConns()}).Info("node_started")
 	err := <-failed
 	select {
 	case <-n.stop:
@@ -257,10 +258,6 @@
 	}
 }
 
-func (n *Node) serveCallers(l net.Listener) error {
-	return n.callerServer.Serve(callerListener{l, n.callerConns})
-}
-
 // syncerConfig returns the configuration of the node's Syncer. self is the
 // address at which other nodes reach this one, derived from its instance. The
 // listen address may differ from it (such as 0.0.0.0); a node that used it as
--- a/sidecar/stalled_caller_test.go
+++ b/sidecar/stalled_caller_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/oatpin/oatpin/inbound"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -48,7 +49,7 @@
 // awaitAnswer waits, within a bound, for the node of v to have the whole answer of
 // its target. Until then it rightly holds the body of the request.
 func awaitAnswer(v *vm) {
-	for until := time.Now().Add(answerStallTimeout / 2); v.node.held.Used() > 0 && time.Now().Before(until); {
+	for until := time.Now().Add(inbound.AnswerStallTimeout / 2); v.node.held.Used() > 0 && time.Now().Before(until); {
 		time.Sleep(10 * time.Millisecond)
 	}
 }
@@ -79,7 +80,7 @@
 	Convey("The request ends soon after the stall timeout", t, func() {
 		stallCaller(m, v)
 		So(v.node.activeRequests.Load(), ShouldEqual, 1)
-		time.Sleep(answerStallTimeout + time.Second)
+		time.Sleep(inbound.AnswerStallTimeout + time.Second)
 		So(v.node.activeRequests.Load(), ShouldEqual, 0)
 	})
 }
@@ -99,12 +100,12 @@
 			var n int64
 			n, err = io.CopyN(io.Discard, resp.Body, largeAnswer/32)
 			read += n
-			time.Sleep(answerStallTimeout / 30)
+			time.Sleep(inbound.AnswerStallTimeout / 30)
 		}
 		So(err, ShouldEqual, io.EOF)
 		So(read, ShouldEqual, largeAnswer)
-		So(time.Since(began), ShouldBeGreaterThan, answerStallTimeout)
-		time.Sleep(answerStallTimeout)
+		So(time.Since(began), ShouldBeGreaterThan, inbound.AnswerStallTimeout)
+		time.Sleep(inbound.AnswerStallTimeout)
 		fmt.Fprint(c, "GET /read/z HTTP/1.1\r\nHost: h\r\nRequest-Id: next\r\n\r\n")
 		resp, err = http.ReadResponse(r, nil)
 		So(err, ShouldBeNil)
@@ -130,10 +131,10 @@
 			go func() { cut <- pipeline(conn, c.path) }()
 			select {
 			case err = <-cut:
-			case <-time.After(4 * answerStallTimeout):
+			case <-time.After(4 * inbound.AnswerStallTimeout):
 			}
 			So(err, ShouldNotBeNil)
-			So(time.Since(began), ShouldBeGreaterThan, answerStallTimeout)
+			So(time.Since(began), ShouldBeGreaterThan, inbound.AnswerStallTimeout)
 			time.Sleep(100 * time.Millisecond) // for the handler to return
 			So(v.node.activeRequests.Load(), ShouldEqual, 0)
 		})
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -10,6 +10,7 @@
 	"github.com/oatpin/oatpin/account"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/directory"
+	"github.com/oatpin/oatpin/inbound"
 	"github.com/oatpin/oatpin/memory"
 	"github.com/oatpin/oatpin/quarantine"
 	"github.com/oatpin/oatpin/replication"
@@ -211,6 +212,11 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_target_answers_over_bound_total{node=%q,bound=%q}`, s.node, b)).Inc()
 }
 
+// countRefusedHead counts a head of a caller that was refused.
+func (s *stats) countRefusedHead(why inbound.Cause) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`oatpin_heads_refused_total{node=%q,cause=%q}`, s.node, why)).Inc()
+}
+
 // countSent counts a request sent to the local target.
 func (s *stats) countSent() { s.sent.Inc() }
 
--- a/sidecar/tuning.go
+++ b/sidecar/tuning.go
@@ -16,6 +16,7 @@
 	n.held.SetLimit(t.MaxHeldBodyBytes)
 	n.heldAnswers.SetLimit(t.MaxHeldAnswerBytes)
 	n.awaited.SetLimit(t.MaxHeldAnswerBytes)
+	n.heads.SetLimit(t.MaxHeldHeadBytes)
 }
 
 // retryBudget returns the retry budget of a service.
