Bound connections and heads at the ports for readiness and metrics

Both servers had the library's limit of 1 MB a head, any number of connections, and no timeout of idle ones. Clients that send header lines without end there took 1,519 and 1,412 MB of a node of 64 MB with 400 connections of 256 KB each, and 400 that send nothing all 256 descriptors.

A connection that is silent for 50 ms gives way to one that waits, so that the platform's question gets in.

--- a/sidecar/caller_limits.go
+++ b/sidecar/inbound.go
@@ -1,12 +1,34 @@
 package sidecar
 
 import (
+	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/oatpin/oatpin/inbound"
 )
 
+const (
+	// operatorConns is how many connections the ports for readiness and metrics each
+	// take. The platform opens one a second.
+	operatorConns = 32
+	// operatorUnusedTime is how long one of them may be unused beside others that wait.
+	operatorUnusedTime = 50 * time.Millisecond
+)
+
+// newOperatorServer returns a server for readiness or metrics. Its heads share the
+// memory of the callers', and its limits do not depend on the routes, which a node
+// without a source lacks.
+func (n *Node) newOperatorServer(h http.Handler) *inbound.Server {
+	return inbound.NewServer(inbound.Config{Handler: h, MaxConns: operatorConns, UnusedTime: operatorUnusedTime, Limits: operatorLimits,
+		Heads: &n.heads, OnRefused: n.recordRefusedHead, ErrorLog: newServerLog(n.log)})
+}
+
+func operatorLimits() inbound.Limits {
+	return inbound.Limits{HeadBytes: 16 << 10, HeadTimeout: 5 * time.Second}
+}
+
 // callerLimits returns the limits of callers in the routes in force.
 func (n *Node) callerLimits() inbound.Limits {
 	r := n.dir.View().Routes
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -122,11 +122,11 @@
 		stats        *stats
 		peerServer   wire.Server
 		callerServer *inbound.Server
-		readyServer  *http.Server
+		readyServer  *inbound.Server
 		dropHeaders  headerSet
 		// dropHeadersWithAccounts applies if the routes have client accounts.
 		dropHeadersWithAccounts headerSet
-		metricsServer           *http.Server
+		metricsServer           *inbound.Server
 
 		splits         splitDraws
 		tuning         atomic.Pointer[Tuning]
@@ -210,11 +210,8 @@
 	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log, Memory: &n.held}
 	n.callerServer = inbound.NewServer(inbound.Config{Handler: http.HandlerFunc(n.serveCaller), MaxConns: maxDescriptors() / callerDescriptorDivisor, UnusedTime: inbound.DefaultUnusedTime,
 		Limits: n.callerLimits, Heads: &n.heads, OnRefused: n.recordRefusedHead, ErrorLog: newServerLog(cfg.Log)})
-	n.readyServer = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: inbound.DefaultLimits.HeadTimeout}
-	n.metricsServer = &http.Server{Handler: n.stats, ReadHeaderTimeout: inbound.DefaultLimits.HeadTimeout}
-	for _, s := range []*http.Server{n.readyServer, n.metricsServer} {
-		s.ErrorLog = newServerLog(cfg.Log)
-	}
+	n.readyServer = n.newOperatorServer(http.HandlerFunc(n.serveReady))
+	n.metricsServer = n.newOperatorServer(n.stats)
 	n.dir.OnChange(n.applyView)
 	n.stats.registerGauges(n)
 	return n, nil
