Bound connections at the ports for nodes that have sent nothing

Connections that have sent no frame are at most a sixteenth of the descriptors, and end after 23 s; the one opened first is closed for the next, but not within 20 ms of its opening, so that frames that arrived while all nodes connect at once are read first.

--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -36,6 +36,9 @@
 	// connections from callers may use. The rest is for other nodes, the target,
 	// the directory source and readiness checks.
 	callerDescriptorDivisor = 2
+	// strangerDescriptorDivisor is the part that connections to the ports for nodes may
+	// use before they have sent anything.
+	strangerDescriptorDivisor = 16
 	// assumedDescriptors is the descriptor limit if the system states none.
 	assumedDescriptors = 1024
 )
@@ -207,7 +210,7 @@
 	n.queueWait, n.retryAfter = cfg.Policies.queueWait(), cfg.Policies.retryAfter()
 	n.setTuning(&cfg.Tuning)
 	n.peers = wire.NewPool(wire.PoolConfig{Log: cfg.Log, OnVersion: n.onPeerRevision, DisableSuspicion: !cfg.Policies.Suspicion, Memory: &n.heldAnswers})
-	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log, Memory: &n.held}
+	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log, Memory: &n.held, MaxStrangers: maxDescriptors() / strangerDescriptorDivisor}
 	n.callerServer = inbound.NewServer(inbound.Config{Handler: http.HandlerFunc(n.serveCaller), MaxConns: maxDescriptors() / callerDescriptorDivisor, UnusedTime: inbound.DefaultUnusedTime,
 		Limits: n.callerLimits, Heads: &n.heads, OnRefused: n.recordRefusedHead, ErrorLog: newServerLog(cfg.Log)})
 	n.readyServer = n.newOperatorServer(http.HandlerFunc(n.serveReady))
--- a/wire/server.go
+++ b/wire/server.go
@@ -32,17 +32,22 @@
 		Log       log.Interface // of handlers that panic
 		// Memory counts the bodies of requests; nil for none.
 		Memory *memory.Account
+		// MaxStrangers bounds the connections that have sent no frame yet: the one that
+		// was opened first is closed before the next. 0 for no bound.
+		MaxStrangers int
 
 		inFlight atomic.Int64
 
-		mu    sync.Mutex
-		conns map[net.Conn]struct{}
+		mu        sync.Mutex
+		conns     map[net.Conn]struct{}
+		strangers []stranger // in the order in which they were opened
 	}
 )
 
 // Serve accepts connections on l and returns nil once l is closed.
 func (s *Server) Serve(l net.Listener) error {
 	for {
+		s.awaitRoom()
 		nc, err := l.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
@@ -50,7 +55,7 @@
 			}
 			return err
 		}
-		s.track(nc, true)
+		s.track(nc)
 		go s.serveConn(nc)
 	}
 }
@@ -67,21 +72,8 @@
 	}
 }
 
-func (s *Server) track(nc net.Conn, add bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.conns == nil {
-		s.conns = map[net.Conn]struct{}{}
-	}
-	if add {
-		s.conns[nc] = struct{}{}
-	} else {
-		delete(s.conns, nc)
-	}
-}
-
 func (s *Server) serveConn(nc net.Conn) {
-	defer s.track(nc, false)
+	defer s.forget(nc)
 	defer nc.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -89,12 +81,18 @@
 	in := &frameReader{r: nc}
 	dec := msgpack.NewDecoder(bufio.NewReader(in))
 	memoryOf := func(Stream) *memory.Account { return s.Memory }
-	for {
+	for known := false; ; known = true {
 		in.next()
 		f := Frame{memoryOf: memoryOf}
 		if err := dec.Decode(&f); err != nil {
 			return
 		}
+		if !known {
+			if s.recognize(nc) != nil {
+				f.release()
+				return
+			}
+		}
 		switch f.Kind {
 		case KindPing:
 			sc.send(Frame{Kind: KindPong, Stream: f.Stream})
