Count large heads of requests at the node they are sent to

A node's entry lets in a few large heads at a time, but forty nodes may send theirs to one, which held them beside its account for bodies: some 800 KB for a head of 16 KB in short lines, and 12 MB from each node of 284 MB. The body was counted, the head not: TestLargeHeadIsCounted found 8,192 bytes counted for 3,000 lines and a body of 8,192.

A head over 16 KB of cost is counted with the body, and refused as not run without room, as the body is. An ordinary one (a few hundred bytes, ten lines: 3 KB) is not counted. Not shown with forty processes; TestCrowdOfLargeHeadsToAnotherNode has one entry, whose peer held 20 MB before.

--- a/call/body.go
+++ b/call/body.go
@@ -19,7 +19,8 @@
 	}
 
 	// RequestDecoder decodes a Request whose body is counted in Account before it is
-	// read. If there is no room, the body is skipped and BodySkipped is set.
+	// read, and its head if that is large. Without room for either, it is not held and
+	// BodySkipped is set.
 	RequestDecoder struct {
 		Account *memory.Account
 		Request *Request
@@ -44,7 +45,32 @@
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (x *RequestDecoder) DecodeMsgpack(d *msgpack.Decoder) error {
 	x.Request, x.body = &Request{}, countedBody{account: x.Account}
-	return x.Request.decode(d, &x.body)
+	if err := x.Request.decode(d, &x.body); err != nil {
+		return err
+	}
+	x.Request.countHead(x.Account)
+	return nil
+}
+
+// countHead counts a large head, of which an entry node lets in a few, but many of them
+// may send theirs to one node.
+func (r *Request) countHead(account *memory.Account) {
+	if r.HTTP == nil {
+		return
+	}
+	text := len(r.HTTP.URI)
+	for _, f := range r.HTTP.Header {
+		text += len(f.Name) + len(f.Value)
+	}
+	cost := memory.HeadCost(text, len(r.HTTP.Header))
+	if cost <= memory.OrdinaryHead {
+		return
+	}
+	if !account.Take(cost) {
+		r.HTTP.Header, r.BodySkipped = nil, true
+		return
+	}
+	r.Held = r.Held.Join(memory.NewHold(account, cost))
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
--- a/call/call.go
+++ b/call/call.go
@@ -62,9 +62,9 @@
 	// KnownUpAt is the InstanceState.UpAt with which KnownRateLimit was stated.
 	// Between nodes it is part of the frame.
 	KnownUpAt UnixMilli `msgpack:"-"`
-	// Held is the memory of Body if it came from another node.
+	// Held is the memory of Body, and of a large head, if it came from another node.
 	Held *memory.Hold `msgpack:"-"`
-	// BodySkipped is set if the receiving node had no memory for Body.
+	// BodySkipped is set if the receiving node had no memory for Body or the head.
 	BodySkipped bool `msgpack:"-"`
 	// AwaitRate lets the request wait for the instance's rate limit, because no
 	// other instance takes it. Between nodes it is part of the frame.
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/oatpin/oatpin/memory"
 	"github.com/rotisserie/eris"
 )
 
@@ -102,7 +103,7 @@
 	case size == 0:
 		return ""
 	}
-	return c.server.cfg.Heads.take(c, costOf(size, lines))
+	return c.server.cfg.Heads.take(c, memory.HeadCost(size, lines))
 }
 
 // inHead reports whether a part of a head has been read.
@@ -164,7 +165,7 @@
 	c.mu.Unlock()
 	if begunBefore {
 		// It may be any part of what was read with that request.
-		if why := c.server.cfg.Heads.take(c, costOf(readBytes, readBytes/len("a:\r\n"))); why != "" {
+		if why := c.server.cfg.Heads.take(c, memory.HeadCost(readBytes, readBytes/len("a:\r\n"))); why != "" {
 			c.Conn.Close()
 			c.server.refused(why)
 		}
--- a/inbound/heads.go
+++ b/inbound/heads.go
@@ -3,19 +3,13 @@
 import (
 	"net/http"
 	"sync"
+
+	"github.com/oatpin/oatpin/memory"
 )
 
 const (
-	// lineCost is the memory in bytes that a header line takes besides its text: in the
-	// map of the request, in the list that is passed on, and in the map of the request
-	// to the target.
-	lineCost = 256
-	// byteCost is how often the text of a head is held.
-	byteCost = 2
-	// largeHead is the cost in bytes from which on heads leave a part of the memory, so
-	// that ordinary ones get in beside a crowd of large ones.
-	largeHead = 16 << 10
-	// largeNum / largeDen is the fraction of the memory that large heads may use.
+	// largeNum / largeDen is the fraction of the memory that other than ordinary heads
+	// may use, so that ordinary ones get in beside a crowd of large ones.
 	largeNum = 3
 	largeDen = 4
 )
@@ -84,7 +78,7 @@
 // fits reports whether there is room for more bytes of a head of a cost.
 func (h *Heads) fits(cost, more int64) bool {
 	limit := h.limit
-	if cost > largeHead {
+	if cost > memory.OrdinaryHead {
 		limit = limit * largeNum / largeDen
 	}
 	return h.limit == 0 || h.used+more <= limit
@@ -140,7 +134,5 @@
 			lines++
 		}
 	}
-	return costOf(text, lines)
+	return memory.HeadCost(text, lines)
 }
-
-func costOf(text, lines int) int64 { return int64(text*byteCost + lines*lineCost) }
--- a/memory/hold.go
+++ b/memory/hold.go
@@ -25,3 +25,15 @@
 		h.account.Give(h.bytes.Swap(0))
 	}
 }
+
+// Join returns a Hold of what h and other hold, both of the same account; they must not
+// be used any more.
+func (h *Hold) Join(other *Hold) *Hold {
+	if h == nil {
+		return other
+	}
+	if other != nil {
+		h.bytes.Add(other.bytes.Swap(0))
+	}
+	return h
+}
