Serve HTTP of the other roles through inbound too

oatpin node, the targets and the configuration service, and what demo runs in its process, had the library's 1 MB of head and no bound on connections. The node's port for nodes has the bound on connections that have sent nothing.

--- a/cmd/oatpin/crowd_test.go
+++ b/cmd/oatpin/crowd_test.go
@@ -4,8 +4,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -130,3 +133,27 @@
 		})
 	}
 }
+
+// Guards against the same crowd at the ports of the other roles, which know no limits of
+// routes and no memory_mb.
+func TestCrowdOfHeadsAtOtherRoles(t *testing.T) {
+	for _, role := range []string{"freigabe-1", "freigabe-1-target", "platform"} {
+		Convey("Clients send header lines without end to "+role, t, func() {
+			cl := newCluster(t)
+			node, _, entry := cl.startPair()
+			addr := map[string]string{"freigabe-1": "127.0.0.1:" + node.http, "freigabe-1-target": "127.0.0.1:" + node.target, "platform": cl.configServiceAddr}[role]
+			vm := crowdVM{sidecarPair: sidecarPair{callers: addr, proc: cl.procs[role]}, t: t}
+			stopWatch := watch([]crowdVM{vm})
+			leave := sendCrowd(addr, endless("GET / HTTP/1.1\r\nHost: h\r\n", shortLine))
+			time.Sleep(crowdTime)
+			leave()
+			resp, _, err := post(entry + "approve")
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, http.StatusOK)
+			u := stopWatch()[0]
+			t.Logf("%s: resident %d KB, %d descriptors", role, u.residentBytes>>10, u.descriptors)
+			So(vm.proc.Process.Signal(syscall.Signal(0)), ShouldBeNil)
+			So(u.residentBytes, ShouldBeLessThanOrEqualTo, usualMemoryMB<<20)
+		})
+	}
+}
--- a/cmd/oatpin/roles.go
+++ b/cmd/oatpin/roles.go
@@ -12,6 +12,7 @@
 
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/configservice"
+	"github.com/oatpin/oatpin/inbound"
 	"github.com/oatpin/oatpin/node"
 	"github.com/oatpin/oatpin/settings"
 	"github.com/oatpin/oatpin/target"
@@ -115,7 +116,7 @@
 // serveHTTP serves h on l until SIGTERM or SIGINT, then calls drain and shuts
 // down gracefully.
 func serveHTTP(l net.Listener, h http.Handler, drain func()) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	srv := inbound.NewServer(inbound.Config{Handler: h})
 	serve := func() error { return srv.Serve(l) }
 	return runUntilSignal(serve, func(ctx context.Context) {
 		drain()
--- a/demo/mesh.go
+++ b/demo/mesh.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/configservice"
+	"github.com/oatpin/oatpin/inbound"
 	"github.com/oatpin/oatpin/node"
 	"github.com/oatpin/oatpin/settings"
 	"github.com/oatpin/oatpin/target"
@@ -43,7 +44,7 @@
 		Targets       map[string]*target.Target
 		// ConfigServiceURL is the base URL of the simulated configuration service.
 		ConfigServiceURL string
-		servers          []*http.Server
+		servers          []*inbound.Server
 		targetURLs       map[string]string
 	}
 )
@@ -179,7 +180,7 @@
 
 // serve serves h on l in the background and returns the address of l.
 func (m *Mesh) serve(l net.Listener, h http.Handler) string {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	s := inbound.NewServer(inbound.Config{Handler: h})
 	m.servers = append(m.servers, s)
 	go s.Serve(l)
 	return l.Addr().String()
--- /dev/null
+++ b/inbound/descriptors.go
@@ -0,0 +1,31 @@
+package inbound
+
+import "syscall"
+
+const (
+	// clientDescriptorDivisor is the part of the process's descriptors that connections
+	// from clients may use. The rest is for other nodes, the target, the directory
+	// source and readiness checks.
+	clientDescriptorDivisor = 2
+	// strangerDescriptorDivisor is the part that connections to the ports for nodes may
+	// use before they have sent anything.
+	strangerDescriptorDivisor = 16
+	// assumedDescriptors is the descriptor limit if the system states none.
+	assumedDescriptors = 1024
+)
+
+// MaxDescriptors returns the descriptor limit of the process.
+func MaxDescriptors() int {
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		return assumedDescriptors
+	}
+	return int(min(l.Cur, 1<<30)) // no limit is the largest number
+}
+
+// MaxClients returns how many connections from clients the process may hold.
+func MaxClients() int { return MaxDescriptors() / clientDescriptorDivisor }
+
+// MaxStrangers returns how many connections to the ports for nodes may have sent
+// nothing.
+func MaxStrangers() int { return MaxDescriptors() / strangerDescriptorDivisor }
--- a/inbound/server.go
+++ b/inbound/server.go
@@ -9,20 +9,24 @@
 	"time"
 )
 
-// DefaultUnusedTime is the Config.UnusedTime of a server of many connections.
-const DefaultUnusedTime = time.Second
+const (
+	// DefaultUnusedTime is the Config.UnusedTime of a server of many connections.
+	DefaultUnusedTime = time.Second
+	// DefaultHeadBytes is the memory for the heads of a server without an account.
+	DefaultHeadBytes = 8 << 20
+)
 
 type (
 	// Config is the configuration of a Server.
 	Config struct {
 		Handler  http.Handler
-		MaxConns int
+		MaxConns int // 0 for MaxClients
 		// UnusedTime is how long a connection must have carried nothing to be closed for
-		// another one at once.
+		// another one at once; 0 for DefaultUnusedTime.
 		UnusedTime time.Duration
 		// Limits returns the limits in force; nil for DefaultLimits.
 		Limits func() Limits
-		Heads  *Heads // memory of heads; nil for no bound
+		Heads  *Heads // memory of heads; nil for DefaultHeadBytes
 		// OnRefused, if not nil, is called for each head that is refused.
 		OnRefused func(Cause)
 		ErrorLog  *stdlog.Logger
@@ -46,6 +50,13 @@
 	}
 	if cfg.Heads == nil {
 		cfg.Heads = &Heads{}
+		cfg.Heads.SetLimit(DefaultHeadBytes)
+	}
+	if cfg.MaxConns == 0 {
+		cfg.MaxConns = MaxClients()
+	}
+	if cfg.UnusedTime == 0 {
+		cfg.UnusedTime = DefaultUnusedTime
 	}
 	s := &Server{cfg: cfg, conns: newConnSet(cfg.MaxConns, cfg.UnusedTime)}
 	// Each connection replaces these timeouts by those in force and counts its heads.
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/oatpin/oatpin/budget"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/filter"
+	"github.com/oatpin/oatpin/inbound"
 	"github.com/oatpin/oatpin/owner"
 	"github.com/oatpin/oatpin/route"
 	"github.com/oatpin/oatpin/settings"
@@ -90,7 +91,7 @@
 		stats             *stats
 
 		wire     wire.Server
-		http     *http.Server
+		http     *inbound.Server
 		stop     chan struct{}
 		stopOnce sync.Once
 	}
@@ -130,8 +131,8 @@
 		n.localChain = filter.Chain(filter.HandlerFunc(n.callTarget), filter.Deadline(cfg.ClockSkew), filter.Drain(&n.leaving), n.dedup.Filter())
 		n.policy = baselinePolicy{}
 	}
-	n.wire = wire.Server{Handler: n.servePeer, Version: n.version, OnVersion: n.onPeerVersion, Log: n.log}
-	n.http = &http.Server{Handler: n.routes(), ReadHeaderTimeout: 5 * time.Second}
+	n.wire = wire.Server{Handler: n.servePeer, Version: n.version, OnVersion: n.onPeerVersion, Log: n.log, MaxStrangers: inbound.MaxStrangers()}
+	n.http = inbound.NewServer(inbound.Config{Handler: n.routes()})
 	if cfg.Graph != nil {
 		n.Apply(cfg.Graph)
 	}
--- a/sidecar/inbound.go
+++ b/sidecar/inbound.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -45,12 +44,3 @@
 		return log.Fields{"cause": why, "heads_bytes": n.heads.Used()}
 	})
 }
-
-// maxDescriptors returns the descriptor limit of the process.
-func maxDescriptors() int {
-	var l syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
-		return assumedDescriptors
-	}
-	return int(min(l.Cur, 1<<30)) // no limit is the largest number
-}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -32,15 +32,6 @@
 	// initialSlots is the slot limit of a target that is not in the directory
 	// yet.
 	initialSlots = 16
-	// callerDescriptorDivisor is the part of the process's descriptors that
-	// connections from callers may use. The rest is for other nodes, the target,
-	// the directory source and readiness checks.
-	callerDescriptorDivisor = 2
-	// strangerDescriptorDivisor is the part that connections to the ports for nodes may
-	// use before they have sent anything.
-	strangerDescriptorDivisor = 16
-	// assumedDescriptors is the descriptor limit if the system states none.
-	assumedDescriptors = 1024
 )
 
 type (
@@ -210,8 +201,8 @@
 	n.queueWait, n.retryAfter = cfg.Policies.queueWait(), cfg.Policies.retryAfter()
 	n.setTuning(&cfg.Tuning)
 	n.peers = wire.NewPool(wire.PoolConfig{Log: cfg.Log, OnVersion: n.onPeerRevision, DisableSuspicion: !cfg.Policies.Suspicion, Memory: &n.heldAnswers})
-	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log, Memory: &n.held, MaxStrangers: maxDescriptors() / strangerDescriptorDivisor}
-	n.callerServer = inbound.NewServer(inbound.Config{Handler: http.HandlerFunc(n.serveCaller), MaxConns: maxDescriptors() / callerDescriptorDivisor, UnusedTime: inbound.DefaultUnusedTime,
+	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log, Memory: &n.held, MaxStrangers: inbound.MaxStrangers()}
+	n.callerServer = inbound.NewServer(inbound.Config{Handler: http.HandlerFunc(n.serveCaller), MaxConns: inbound.MaxClients(), UnusedTime: inbound.DefaultUnusedTime,
 		Limits: n.callerLimits, Heads: &n.heads, OnRefused: n.recordRefusedHead, ErrorLog: newServerLog(cfg.Log)})
 	n.readyServer = n.newOperatorServer(http.HandlerFunc(n.serveReady))
 	n.metricsServer = n.newOperatorServer(n.stats)
