--- a/message/decode_test.go
+++ b/message/decode_test.go
@@ -80,3 +80,19 @@
 		So(l, ShouldBeNil)
 	})
 }
+
+// Guards against a process that runs out of memory because a message of a few megabytes
+// claims, and has, empty elements: each is one byte, and tens of bytes once decoded.
+func TestListWithoutEndIsRefused(t *testing.T) {
+	Convey("A list over the bound is an error, and one of it is decoded", t, func() {
+		list := func(n int) []byte {
+			b := []byte{0xdd, byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}
+			return append(b, bytes.Repeat([]byte{0x90}, n)...)
+		}
+		var l List[record]
+		So(msgpack.Unmarshal(list(maxList+1), &l), ShouldWrap, ErrListTooLong)
+		So(l, ShouldBeEmpty)
+		So(msgpack.Unmarshal(list(maxList), &l), ShouldBeNil)
+		So(len(l), ShouldEqual, maxList)
+	})
+}
