--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -214,28 +214,14 @@
 // Serve listens on the configured addresses and serves until Shutdown.
 func (n *Node) Serve() error {
 	failed := make(chan error, 5)
-	listen := func(addr string, serve func(net.Listener) error) error {
-		l, err := net.Listen("tcp", addr)
+	for _, p := range n.ports() {
+		l, err := p.listen(p.addr)
 		if err != nil {
-			return eris.Wrapf(err, "listen %s", addr)
+			return eris.Wrapf(err, "listen %s", p.addr)
 		}
 		l = wire.NewListener(l, n.log)
-		go func() { failed <- serve(l) }()
+		go func() { failed <- p.serve(l) }()
 		go func() { <-n.stop; l.Close() }()
-		return nil
-	}
-	if n.cfg.ControlAddr != "" {
-		if err := listen(n.cfg.ControlAddr, n.peerServer.Serve); err != nil {
-			return err
-		}
-	}
-	for _, s := range []struct {
-		addr  string
-		serve func(net.Listener) error
-	}{{n.cfg.PeerAddr, n.peerServer.Serve}, {n.cfg.CallerAddr, n.callerServer.Serve}, {n.cfg.ReadyAddr, n.readyServer.Serve}, {n.cfg.MetricsAddr, n.metricsServer.Serve}} {
-		if err := listen(s.addr, s.serve); err != nil {
-			return err
-		}
 	}
 	go n.peers.KeepAlive(n.stop)
 	go n.runBackground()
