Refuse a request with a large body without waiting for the body

The handler gets a copy of the request, and the receive buffer is small again once it returns, whether or not it read the body.

--- a/inbound/read_buffer.go
+++ b/inbound/read_buffer.go
@@ -33,13 +33,20 @@
 	end  sync.Once
 }
 
-// withFastBody prepares a request whose body may be larger than the idle buffer.
-func (c *conn) withFastBody(r *http.Request) {
+// serveBody calls h. A body that may be larger than the idle buffer is read through a
+// larger one. net/http decides by the type of the body what it does with the rest of one
+// that was not read, so that h gets another request in place of another body in r.
+func (c *conn) serveBody(h http.Handler, w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength >= 0 && r.ContentLength <= idleReadBuffer {
+		h.ServeHTTP(w, r)
 		return
 	}
 	c.setReadBuffer(bodyReadBuffer)
-	r.Body = &fastBody{ReadCloser: r.Body, conn: c}
+	body := &fastBody{ReadCloser: r.Body, conn: c}
+	defer body.restore()
+	fast := *r
+	fast.Body = body
+	h.ServeHTTP(w, &fast)
 }
 
 // Read reads the body.
@@ -51,10 +58,4 @@
 	return n, err
 }
 
-// Close closes the body.
-func (b *fastBody) Close() error {
-	b.restore()
-	return b.ReadCloser.Close()
-}
-
 func (b *fastBody) restore() { b.end.Do(func() { b.conn.setReadBuffer(idleReadBuffer) }) }
--- a/inbound/server_test.go
+++ b/inbound/server_test.go
@@ -201,3 +201,12 @@
 		}
 	})
 }
+
+// Guards against a refusal that waits for a body that its handler does not read.
+func TestRefusalDoesNotWaitForLargeBody(t *testing.T) {
+	Convey("It is answered though nothing of the body was sent", t, func() {
+		_, addr := serveTest(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })})
+		code, _ := answerTo(dialTest(t, addr), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10000000\r\n\r\n")
+		So(code, ShouldEqual, http.StatusServiceUnavailable)
+	})
+}
