Serve the largest head in calm, and close no connection whose head is whole

A head whose cost is over three quarters of the memory for heads was refused with 503 each time, though nothing else was counted: 64 KB in short lines at 64 MB, or the 16 KB of a deployment where memory_mb is small. One head may be of any allowed size while others hold less than a sixteenth. TestLargestHeadIsServedInCalm: 503 before.

A whole head that the library was about to hand over could still give way to a smaller one, so its caller saw a closed connection. It counts as unfinished no more once its last line has been read (by reading; the window is too short for a test).

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -95,7 +95,7 @@
 		return ""
 	}
 	size, lines := c.head.scan(b)
-	tooLarge := c.head.size > c.server.cfg.Limits().maxHead()
+	tooLarge, whole := c.head.size > c.server.cfg.Limits().maxHead(), c.head.ended
 	c.mu.Unlock()
 	switch {
 	case tooLarge:
@@ -103,7 +103,7 @@
 	case size == 0:
 		return ""
 	}
-	return c.server.cfg.Heads.take(c, memory.HeadCost(size, lines))
+	return c.server.cfg.Heads.take(c, memory.HeadCost(size, lines), whole)
 }
 
 // inHead reports whether a part of a head has been read.
@@ -165,7 +165,7 @@
 	c.mu.Unlock()
 	if begunBefore {
 		// It may be any part of what was read with that request.
-		if why := c.server.cfg.Heads.take(c, memory.HeadCost(readBytes, readBytes/len("a:\r\n"))); why != "" {
+		if why := c.server.cfg.Heads.take(c, memory.HeadCost(readBytes, readBytes/len("a:\r\n")), false); why != "" {
 			c.Conn.Close()
 			c.server.refused(why)
 		}
--- a/inbound/heads.go
+++ b/inbound/heads.go
@@ -12,6 +12,9 @@
 	// may use, so that ordinary ones get in beside a crowd of large ones.
 	largeNum = 3
 	largeDen = 4
+	// idleDivisor is the fraction of the memory up to which others may hold heads while
+	// one may be of any size: the largest that is allowed is not to be refused for ever.
+	idleDivisor = 16
 )
 
 // Heads counts the memory of the heads that connections read or whose requests are in
@@ -40,10 +43,10 @@
 	return h.used
 }
 
-// take counts n more bytes of the unfinished head of c. The cause is empty if there was
-// room.
-func (h *Heads) take(c *conn, n int64) Cause {
-	why, closed := h.makeRoom(c, n)
+// take counts n more bytes of the head of c, which is whole then or unfinished. The cause
+// is empty if there was room.
+func (h *Heads) take(c *conn, n int64, whole bool) Cause {
+	why, closed := h.makeRoom(c, n, whole)
 	for _, other := range closed {
 		other.Conn.Close()
 		other.server.refused(GaveWay)
@@ -51,7 +54,7 @@
 	return why
 }
 
-func (h *Heads) makeRoom(c *conn, n int64) (why Cause, closed []*conn) {
+func (h *Heads) makeRoom(c *conn, n int64, whole bool) (why Cause, closed []*conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if c.gaveWay {
@@ -68,20 +71,27 @@
 	}
 	h.used += n
 	c.cost += n
-	if h.unfinished == nil {
+	switch {
+	case whole: // its request is about to be served
+		delete(h.unfinished, c)
+		return "", closed
+	case h.unfinished == nil:
 		h.unfinished = map[*conn]struct{}{}
 	}
 	h.unfinished[c] = struct{}{}
 	return "", closed
 }
 
-// fits reports whether there is room for more bytes of a head of a cost.
+// fits reports whether there is room for more bytes of a head, which cost is with them.
 func (h *Heads) fits(cost, more int64) bool {
-	limit := h.limit
-	if cost > memory.OrdinaryHead {
+	limit, others := h.limit, h.used-(cost-more)
+	switch {
+	case limit == 0 || others <= limit/idleDivisor:
+		return true
+	case cost > memory.OrdinaryHead:
 		limit = limit * largeNum / largeDen
 	}
-	return h.limit == 0 || h.used+more <= limit
+	return h.used+more <= limit
 }
 
 // largest returns the largest unfinished head above a cost, or nil.
--- a/inbound/server_test.go
+++ b/inbound/server_test.go
@@ -210,3 +210,27 @@
 		So(code, ShouldEqual, http.StatusServiceUnavailable)
 	})
 }
+
+// Guards against the largest head that is allowed being refused for ever, because it
+// takes more than the memory for heads.
+func TestLargestHeadIsServedInCalm(t *testing.T) {
+	Convey("It is served beside nothing, and what is over the memory only by itself", t, func() {
+		heads := &Heads{}
+		heads.SetLimit(headMemory)
+		hold, held := make(chan struct{}), make(chan struct{}, 1)
+		_, addr := serveTest(t, Config{Heads: heads, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/held" {
+				held <- struct{}{}
+				<-hold
+			}
+		})})
+		largest := headOf(16<<10, 8)
+		code, _ := answerTo(dialTest(t, addr), largest)
+		So(code, ShouldEqual, http.StatusOK)
+		io.WriteString(dialTest(t, addr), strings.Replace(headOf(4<<10, 20), "/", "/held", 1))
+		<-held
+		code, _ = answerTo(dialTest(t, addr), largest)
+		close(hold)
+		So(code, ShouldEqual, http.StatusServiceUnavailable)
+	})
+}
