Wait in a test until a head is given back

TestLargestHeadIsServedInCalm waited without end once, under -race at a load of 28: the head before is counted until its connection is idle, a moment after the client has its answer, so the held request was refused and never reached its handler (line 231; again on the second try of a loop).

--- a/inbound/server_test.go
+++ b/inbound/server_test.go
@@ -143,12 +143,7 @@
 			}
 		}
 		c.Close()
-		for range 200 {
-			if heads.Used() == 0 {
-				break
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
+		waitReleased(heads)
 		So(heads.Used(), ShouldEqual, 0)
 	})
 }
@@ -185,6 +180,16 @@
 	}
 }
 
+// waitReleased waits, within a bound, until nothing is counted.
+func waitReleased(h *Heads) {
+	for range 200 {
+		if h.Used() == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // Guards against a head that takes longer than the limit in force, and against telling
 // its client that the request must not be sent again.
 func TestSlowHeadEndsAtLimitInForce(t *testing.T) {
@@ -227,8 +232,13 @@
 		largest := headOf(16<<10, 8)
 		code, _ := answerTo(dialTest(t, addr), largest)
 		So(code, ShouldEqual, http.StatusOK)
+		waitReleased(heads) // its connection is idle a moment after the answer
 		io.WriteString(dialTest(t, addr), strings.Replace(headOf(4<<10, 20), "/", "/held", 1))
-		<-held
+		select {
+		case <-held:
+		case <-time.After(10 * time.Second):
+			t.Fatal("a head of 4 KB was not served")
+		}
 		code, _ = answerTo(dialTest(t, addr), largest)
 		close(hold)
 		So(code, ShouldEqual, http.StatusServiceUnavailable)
