Name silent connections and evicted heads as the field does; see that a crowd's processes live

A process that had ended was found by the ordinary request only, and not at all at the second VM: a signal reaches it until it is waited for. The test reads its state.

--- a/cmd/oatpin/crowd_clients_test.go
+++ b/cmd/oatpin/crowd_clients_test.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -95,10 +94,10 @@
 	})
 }
 
-// withstand sends a crowd to an address of the first VM, and checks of all VMs that
+// checkUnderCrowd sends a crowd to an address of the first VM, and checks of all VMs that
 // their processes live within their memory and descriptors, and that the first answers
 // ordinary requests beside the crowd.
-func withstand(t *testing.T, vms []crowdVM, addr string, m misbehaviour) {
+func checkUnderCrowd(t *testing.T, vms []crowdVM, addr string, m misbehaviour) {
 	t.Helper()
 	entry := vms[0]
 	before, err := net.Dial("tcp", entry.callers)
@@ -118,7 +117,7 @@
 	after := entry.askUntilServed("after")
 	for i, u := range stopWatch() {
 		t.Logf("VM %d: resident %d KB, unread %d KB, %d descriptors", i, u.residentBytes>>10, u.unreadBytes>>10, u.descriptors)
-		So(vms[i].proc.Process.Signal(syscall.Signal(0)), ShouldBeNil)
+		So(vms[i].lives(), ShouldBeTrue)
 		So(u.residentBytes+u.unreadBytes, ShouldBeLessThanOrEqualTo, crowdMemoryMB<<20)
 		So(u.descriptors, ShouldBeLessThanOrEqualTo, vms[i].descriptors-spareDescriptors)
 	}
--- a/cmd/oatpin/crowd_test.go
+++ b/cmd/oatpin/crowd_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -18,7 +17,7 @@
 func TestCrowdOfHeadsWithoutEnd(t *testing.T) {
 	Convey("Callers send header lines without end", t, func() {
 		vms := startCrowded(t, "127.0.30", crowdDescriptors, quickTarget, "front")
-		withstand(t, vms, vms[0].callers, endless(requestHead, shortLine))
+		checkUnderCrowd(t, vms, vms[0].callers, endless(requestHead, shortLine))
 	})
 }
 
@@ -26,7 +25,7 @@
 func TestCrowdOfUnfinishedHeadsInsideLimit(t *testing.T) {
 	Convey("Callers send a head up to the limit and wait", t, func() {
 		vms := startCrowded(t, "127.0.31", crowdDescriptors, quickTarget, "front")
-		withstand(t, vms, vms[0].callers, endless(requestHead+shortLines(crowdLimits.HeaderBytes-len(requestHead)-2), nil))
+		checkUnderCrowd(t, vms, vms[0].callers, endless(requestHead+shortLines(crowdLimits.HeaderBytes-len(requestHead)-2), nil))
 	})
 }
 
@@ -35,7 +34,7 @@
 func TestCrowdOfLargeHeads(t *testing.T) {
 	Convey("Callers send requests with large heads", t, func() {
 		vms := startCrowded(t, "127.0.32", crowdDescriptors, heldRequests, "front")
-		withstand(t, vms, vms[0].callers, wholeHeads("/front/held"))
+		checkUnderCrowd(t, vms, vms[0].callers, wholeHeads("/front/held"))
 	})
 }
 
@@ -43,7 +42,7 @@
 func TestCrowdOfLargeHeadsToAnotherNode(t *testing.T) {
 	Convey("Callers send requests with large heads for an instance of another VM", t, func() {
 		vms := startCrowded(t, "127.0.33", crowdDescriptors, heldRequests, "front", "back")
-		withstand(t, vms, vms[0].callers, wholeHeads("/back/held"))
+		checkUnderCrowd(t, vms, vms[0].callers, wholeHeads("/back/held"))
 	})
 }
 
@@ -53,7 +52,7 @@
 	Convey("Callers send on without end while their requests run", t, func() {
 		vms := startCrowded(t, "127.0.34", crowdDescriptors, heldRequests, "front")
 		first := strings.Replace(requestHead, "/front/x", "/front/held", 1) + "\r\n"
-		withstand(t, vms, vms[0].callers, endless(first, func(int) string { return "GET /none HTTP/1.1\r\n" }))
+		checkUnderCrowd(t, vms, vms[0].callers, endless(first, func(int) string { return "GET /none HTTP/1.1\r\n" }))
 	})
 }
 
@@ -62,7 +61,7 @@
 func TestCrowdOfHeadsAtReadiness(t *testing.T) {
 	Convey("Clients send header lines without end to the readiness port", t, func() {
 		vms := startCrowded(t, "127.0.35", crowdDescriptors, quickTarget, "front")
-		withstand(t, vms, vms[0].ready, endless("GET / HTTP/1.1\r\nHost: h\r\n", shortLine))
+		checkUnderCrowd(t, vms, vms[0].ready, endless("GET / HTTP/1.1\r\nHost: h\r\n", shortLine))
 	})
 }
 
@@ -70,7 +69,7 @@
 func TestCrowdOfHeadsAtMetrics(t *testing.T) {
 	Convey("Clients send header lines without end to the metrics port", t, func() {
 		vms := startCrowded(t, "127.0.36", crowdDescriptors, quickTarget, "front")
-		withstand(t, vms, vms[0].metrics, endless("GET /metrics HTTP/1.1\r\nHost: h\r\n", shortLine))
+		checkUnderCrowd(t, vms, vms[0].metrics, endless("GET /metrics HTTP/1.1\r\nHost: h\r\n", shortLine))
 	})
 }
 
@@ -89,7 +88,7 @@
 	} {
 		Convey("Connections to the port of "+port.name+" send nothing", t, func() {
 			vms := startCrowded(t, fmt.Sprint("127.0.", 40+i), fewerDescriptors, quickTarget, "front")
-			withstand(t, vms, port.of(vms[0].sidecarPair), endless("", nil))
+			checkUnderCrowd(t, vms, port.of(vms[0].sidecarPair), endless("", nil))
 		})
 	}
 }
@@ -116,7 +115,7 @@
 	} {
 		Convey("Callers send "+c.name, t, func() {
 			vms := startCrowded(t, fmt.Sprint("127.0.", 50+i), crowdDescriptors, quickTarget, "front")
-			withstand(t, vms, vms[0].callers, c.do)
+			checkUnderCrowd(t, vms, vms[0].callers, c.do)
 		})
 	}
 }
@@ -129,7 +128,7 @@
 	}{{"zeros", 0}, {"bytes that begin a list", 0xdd}, {"bytes that begin an array in an array", 0x91}, {"empty lists", 0x97}, {"bytes of ones", 0xff}} {
 		Convey("Clients send "+c.name, t, func() {
 			vms := startCrowded(t, fmt.Sprint("127.0.", 70+i), crowdDescriptors, quickTarget, "front")
-			withstand(t, vms, vms[0].peer, endless("", func(int) string { return string([]byte{c.byte, c.byte, c.byte, c.byte}) }))
+			checkUnderCrowd(t, vms, vms[0].peer, endless("", func(int) string { return string([]byte{c.byte, c.byte, c.byte, c.byte}) }))
 		})
 	}
 }
@@ -152,7 +151,7 @@
 			So(resp.StatusCode, ShouldEqual, http.StatusOK)
 			u := stopWatch()[0]
 			t.Logf("%s: resident %d KB, %d descriptors", role, u.residentBytes>>10, u.descriptors)
-			So(vm.proc.Process.Signal(syscall.Signal(0)), ShouldBeNil)
+			So(vm.lives(), ShouldBeTrue)
 			So(u.residentBytes, ShouldBeLessThanOrEqualTo, usualMemoryMB<<20)
 		})
 	}
--- a/cmd/oatpin/crowd_usage_test.go
+++ b/cmd/oatpin/crowd_usage_test.go
@@ -50,6 +50,17 @@
 	return usage{residentBytes: vm.residentBytes(dir), unreadBytes: vm.unreadBytes(), descriptors: len(open)}
 }
 
+// lives reports whether the process has not ended; one that nobody waited for still has
+// an entry.
+func (vm crowdVM) lives() bool {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", vm.proc.Process.Pid))
+	if err != nil {
+		return false
+	}
+	_, state, found := strings.Cut(string(stat), ") ")
+	return found && !strings.HasPrefix(state, "Z")
+}
+
 func (vm crowdVM) residentBytes(dir string) int64 {
 	status, err := os.ReadFile(filepath.Join(dir, "status"))
 	if err != nil {
--- a/inbound/cause.go
+++ b/inbound/cause.go
@@ -10,7 +10,7 @@
 	TooLarge Cause = "too_large" // over the limit: 431
 	TooSlow  Cause = "too_slow"  // not ended in time: 408
 	NoMemory Cause = "no_memory" // no room beside other heads: 503
-	GaveWay  Cause = "gave_way"  // unfinished, and closed for a smaller one
+	Evicted  Cause = "evicted"   // unfinished, and closed for a smaller one
 )
 
 // noMemoryRetryAfter is the Retry-After of a request whose head found no memory, in
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -50,7 +50,7 @@
 
 		// Guarded by server.cfg.Heads.
 		cost    int64 // of its head
-		gaveWay bool  // closed for another head
+		evicted bool  // closed for another head
 
 		mu        sync.Mutex // guards the fields below
 		reading   bool       // a head is read or awaited
@@ -116,7 +116,7 @@
 // refuse answers a head that is refused. Its request was not read, so it never runs.
 func (c *conn) refuse(why Cause, scratch []byte) {
 	c.server.cfg.Heads.release(c)
-	if why == GaveWay {
+	if why == Evicted {
 		return
 	}
 	c.server.refused(why)
--- a/inbound/descriptors.go
+++ b/inbound/descriptors.go
@@ -7,9 +7,9 @@
 	// from clients may use. The rest is for other nodes, the target, the directory
 	// source and readiness checks.
 	clientDescriptorDivisor = 2
-	// strangerDescriptorDivisor is the part that connections to the ports for nodes may
+	// silentDescriptorDivisor is the part that connections to the ports for nodes may
 	// use before they have sent anything.
-	strangerDescriptorDivisor = 16
+	silentDescriptorDivisor = 16
 	// assumedDescriptors is the descriptor limit if the system states none.
 	assumedDescriptors = 1024
 )
@@ -26,6 +26,6 @@
 // MaxClients returns how many connections from clients the process may hold.
 func MaxClients() int { return MaxDescriptors() / clientDescriptorDivisor }
 
-// MaxStrangers returns how many connections to the ports for nodes may have sent
+// MaxSilentConns returns how many connections to the ports for nodes may have sent
 // nothing.
-func MaxStrangers() int { return MaxDescriptors() / strangerDescriptorDivisor }
+func MaxSilentConns() int { return MaxDescriptors() / silentDescriptorDivisor }
--- a/inbound/heads.go
+++ b/inbound/heads.go
@@ -19,9 +19,9 @@
 
 // Heads counts the memory of the heads that connections read or whose requests are in
 // progress. A head is counted as it arrives, because one in many short lines takes some
-// fifteen times its bytes. Where there is no room, the largest unfinished head gives way
-// to a smaller one: an ordinary head is never the largest beside a crowd that fills the
-// memory. The zero value has no limit. It is safe for concurrent use.
+// fifteen times its bytes. Where there is no room, the largest unfinished head is
+// evicted for a smaller one: an ordinary head is never the largest beside a crowd that
+// fills the memory. The zero value has no limit. It is safe for concurrent use.
 type Heads struct {
 	mu         sync.Mutex
 	limit      int64 // 0 for none
@@ -49,7 +49,7 @@
 	why, closed := h.makeRoom(c, n, whole)
 	for _, other := range closed {
 		other.Conn.Close()
-		other.server.refused(GaveWay)
+		other.server.refused(Evicted)
 	}
 	return why
 }
@@ -57,8 +57,8 @@
 func (h *Heads) makeRoom(c *conn, n int64, whole bool) (why Cause, closed []*conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if c.gaveWay {
-		return GaveWay, nil
+	if c.evicted {
+		return Evicted, nil
 	}
 	for !h.fits(c.cost+n, n) {
 		other := h.largest(c.cost + n)
@@ -66,7 +66,7 @@
 			return NoMemory, closed
 		}
 		h.remove(other)
-		other.gaveWay = true
+		other.evicted = true
 		closed = append(closed, other)
 	}
 	h.used += n
@@ -110,8 +110,8 @@
 func (h *Heads) finish(c *conn, cost int64) Cause {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if c.gaveWay {
-		return GaveWay
+	if c.evicted {
+		return Evicted
 	}
 	delete(h.unfinished, c)
 	if more := cost - c.cost; more > 0 && !h.fits(cost, more) {
--- a/inbound/server.go
+++ b/inbound/server.go
@@ -106,7 +106,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	switch c.endHead(r) {
-	case GaveWay:
+	case Evicted:
 		panic(http.ErrAbortHandler)
 	case NoMemory:
 		s.refused(NoMemory)
--- a/inbound/server_test.go
+++ b/inbound/server_test.go
@@ -150,7 +150,7 @@
 
 // Guards against a crowd of unfinished heads that keeps an ordinary request out, and
 // against one that is refused without being told when to come back.
-func TestUnfinishedHeadGivesWayToSmaller(t *testing.T) {
+func TestUnfinishedHeadIsEvictedForSmaller(t *testing.T) {
 	Convey("An ordinary head gets in, a larger one is told to come back", t, func() {
 		heads := &Heads{}
 		heads.SetLimit(headMemory)
--- a/node/node.go
+++ b/node/node.go
@@ -131,7 +131,7 @@
 		n.localChain = filter.Chain(filter.HandlerFunc(n.callTarget), filter.Deadline(cfg.ClockSkew), filter.Drain(&n.leaving), n.dedup.Filter())
 		n.policy = baselinePolicy{}
 	}
-	n.wire = wire.Server{Handler: n.servePeer, Version: n.version, OnVersion: n.onPeerVersion, Log: n.log, MaxStrangers: inbound.MaxStrangers()}
+	n.wire = wire.Server{Handler: n.servePeer, Version: n.version, OnVersion: n.onPeerVersion, Log: n.log, MaxSilentConns: inbound.MaxSilentConns()}
 	n.http = inbound.NewServer(inbound.Config{Handler: n.routes()})
 	if cfg.Graph != nil {
 		n.Apply(cfg.Graph)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -201,7 +201,7 @@
 	n.queueWait, n.retryAfter = cfg.Policies.queueWait(), cfg.Policies.retryAfter()
 	n.setTuning(&cfg.Tuning)
 	n.peers = wire.NewPool(wire.PoolConfig{Log: cfg.Log, OnVersion: n.onPeerRevision, DisableSuspicion: !cfg.Policies.Suspicion, Memory: &n.heldAnswers})
-	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log, Memory: &n.held, MaxStrangers: inbound.MaxStrangers()}
+	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log, Memory: &n.held, MaxSilentConns: inbound.MaxSilentConns()}
 	n.callerServer = inbound.NewServer(inbound.Config{Handler: http.HandlerFunc(n.serveCaller), MaxConns: inbound.MaxClients(), UnusedTime: inbound.DefaultUnusedTime,
 		Limits: n.callerLimits, Heads: &n.heads, OnRefused: n.recordRefusedHead, ErrorLog: newServerLog(cfg.Log)})
 	n.readyServer = n.newOperatorServer(http.HandlerFunc(n.serveReady))
--- a/wire/server.go
+++ b/wire/server.go
@@ -32,15 +32,15 @@
 		Log       log.Interface // of handlers that panic
 		// Memory counts the bodies of requests; nil for none.
 		Memory *memory.Account
-		// MaxStrangers bounds the connections that have sent no frame yet: the one that
+		// MaxSilentConns bounds the connections that have sent no frame yet: the one that
 		// was opened first is closed before the next. 0 for no bound.
-		MaxStrangers int
+		MaxSilentConns int
 
 		inFlight atomic.Int64
 
-		mu        sync.Mutex
-		conns     map[net.Conn]struct{}
-		strangers []stranger // in the order in which they were opened
+		mu     sync.Mutex
+		conns  map[net.Conn]struct{}
+		silent []silentConn // in the order in which they were opened
 	}
 )
 
--- a/wire/strangers_test.go
+++ b/wire/silent_test.go
@@ -17,7 +17,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		defer l.Close()
-		s := &Server{MaxStrangers: 2, Handler: func(_ context.Context, r call.Request) call.Answer { return call.Answer{ID: r.ID, Status: call.OK} }}
+		s := &Server{MaxSilentConns: 2, Handler: func(_ context.Context, r call.Request) call.Answer { return call.Answer{ID: r.ID, Status: call.OK} }}
 		go s.Serve(l)
 		ctx := t.Context()
 		peer, err := Dial(ctx, l.Addr().String(), DialConfig{})
@@ -40,14 +40,14 @@
 		a, err := peer.Call(ctx, call.Request{ID: "second"}, 0)
 		So(err, ShouldBeNil)
 		So(a.Status, ShouldEqual, call.OK)
-		So(s.openStrangers(), ShouldBeLessThanOrEqualTo, 2)
+		So(s.openSilent(), ShouldBeLessThanOrEqualTo, 2)
 	})
 }
 
-func (s *Server) openStrangers() int {
+func (s *Server) openSilent() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.strangers)
+	return len(s.silent)
 }
 
 // Guards against nodes that are cut off because all of them connect at once.
@@ -68,7 +68,7 @@
 			}()
 		}
 		time.Sleep(200 * time.Millisecond) // all are sent
-		s := &Server{MaxStrangers: 2, Handler: func(_ context.Context, r call.Request) call.Answer { return call.Answer{ID: r.ID, Status: call.OK} }}
+		s := &Server{MaxSilentConns: 2, Handler: func(_ context.Context, r call.Request) call.Answer { return call.Answer{ID: r.ID, Status: call.OK} }}
 		go s.Serve(l)
 		for range conns {
 			a := <-results
