--- a/cmd/oatpin/crowd_clients_test.go
+++ b/cmd/oatpin/crowd_clients_test.go
@@ -41,7 +41,7 @@
 	tcpListening = "0A"
 )
 
-// crowdLimits are the limits of the users' deployments, the body's but for.
+// crowdLimits are the limits of the users' deployments, but for the body's.
 var crowdLimits = directory.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
 type (
--- a/inbound/descriptors.go
+++ b/inbound/descriptors.go
@@ -14,8 +14,8 @@
 	assumedDescriptors = 1024
 )
 
-// MaxDescriptors returns the descriptor limit of the process.
-func MaxDescriptors() int {
+// maxDescriptors returns the descriptor limit of the process.
+func maxDescriptors() int {
 	var l syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
 		return assumedDescriptors
@@ -24,8 +24,8 @@
 }
 
 // MaxClients returns how many connections from clients the process may hold.
-func MaxClients() int { return MaxDescriptors() / clientDescriptorDivisor }
+func MaxClients() int { return maxDescriptors() / clientDescriptorDivisor }
 
 // MaxSilentConns returns how many connections to the ports for nodes may have sent
 // nothing.
-func MaxSilentConns() int { return MaxDescriptors() / silentDescriptorDivisor }
+func MaxSilentConns() int { return maxDescriptors() / silentDescriptorDivisor }
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -202,8 +202,8 @@
 	n.setTuning(&cfg.Tuning)
 	n.peers = wire.NewPool(wire.PoolConfig{Log: cfg.Log, OnVersion: n.onPeerRevision, DisableSuspicion: !cfg.Policies.Suspicion, Memory: &n.heldAnswers})
 	n.peerServer = wire.Server{Handler: n.servePeer, Version: n.revision, Log: cfg.Log, Memory: &n.held, MaxSilentConns: inbound.MaxSilentConns()}
-	n.callerServer = inbound.NewServer(inbound.Config{Handler: http.HandlerFunc(n.serveCaller), MaxConns: inbound.MaxClients(), UnusedTime: inbound.DefaultUnusedTime,
-		Limits: n.callerLimits, Heads: &n.heads, OnRefused: n.recordRefusedHead, ErrorLog: newServerLog(cfg.Log)})
+	n.callerServer = inbound.NewServer(inbound.Config{Handler: http.HandlerFunc(n.serveCaller), Limits: n.callerLimits,
+		Heads: &n.heads, OnRefused: n.recordRefusedHead, ErrorLog: newServerLog(cfg.Log)})
 	n.readyServer = n.newOperatorServer(http.HandlerFunc(n.serveReady))
 	n.metricsServer = n.newOperatorServer(n.stats)
 	n.dir.OnChange(n.applyView)
