Set the buffer of callers' bytes on the listener

Callers that send on without end while their requests run filled some 120 KB of unread bytes each: 37 MB resident and 47 MB unread of 64 with 400 callers, up to 240 MB on half of a deployment's descriptors; bodies without end 46 and 17.

The buffer is now the listener's, at the callers' port and at the ports of the other roles, as it is for readiness and metrics. Callers are told of the smaller window from the start.

Ruled out: TCP_WINDOW_CLAMP, which the system raises as it reads (2.2 MB unread), and 32 KB, whose 49 KB a connection leave bodies no room.

--- a/cmd/oatpin/roles.go
+++ b/cmd/oatpin/roles.go
@@ -67,7 +67,7 @@
 		}
 		defer closer.Close()
 		t := target.New(target.Config{Service: s.Service, Graph: g, NodeURL: s.Node, ColdStart: s.ColdStart, HealthLag: s.HealthLag})
-		l, err := net.Listen("tcp", s.HTTP)
+		l, err := inbound.ListenCallers(s.HTTP)
 		if err != nil {
 			return eris.Wrapf(err, "listen http %s", s.HTTP)
 		}
@@ -105,7 +105,7 @@
 		if err != nil {
 			return err
 		}
-		l, err := net.Listen("tcp", s.HTTP)
+		l, err := inbound.ListenCallers(s.HTTP)
 		if err != nil {
 			return eris.Wrapf(err, "listen http %s", s.HTTP)
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -144,7 +144,7 @@
 // appear older than this process. It returns nil after Shutdown.
 func (n *Node) Serve() error {
 	time.Sleep(time.Until(n.ownership.Started()))
-	httpLn, err := net.Listen("tcp", n.cfg.Settings.HTTP)
+	httpLn, err := inbound.ListenCallers(n.cfg.Settings.HTTP)
 	if err != nil {
 		return eris.Wrapf(err, "listen http %s", n.cfg.Settings.HTTP)
 	}
--- a/sidecar/ports.go
+++ b/sidecar/ports.go
@@ -17,7 +17,7 @@
 	listenTCP := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	ports := []port{
 		{n.cfg.PeerAddr, listenTCP, n.peerServer.Serve},
-		{n.cfg.CallerAddr, listenTCP, n.callerServer.Serve},
+		{n.cfg.CallerAddr, inbound.ListenCallers, n.callerServer.Serve},
 		{n.cfg.ReadyAddr, inbound.ListenSmall, n.readyServer.Serve},
 		{n.cfg.MetricsAddr, inbound.ListenSmall, n.metricsServer.Serve},
 	}
