--- a/cmd/oatpin/process_test.go
+++ b/cmd/oatpin/process_test.go
@@ -274,6 +274,7 @@
 		resp, _, err := do(http.MethodPost, "http://127.0.0.1:"+freigabe.http+"/v1/call/archiv/store_once",
 			call.HeaderIdempotencyKey, string(key), call.HeaderTimeout, timeout)
 		So(err, ShouldBeNil)
+		t.Logf("call within %s ms: %s, %s", timeout, resp.Header.Get(call.HeaderStatus), resp.Header.Get(call.HeaderReason))
 		return resp.Header.Get(call.HeaderStatus)
 	}
 	stored := func(key call.Key) int {
