--- a/cmd/oatpin/process_test.go
+++ b/cmd/oatpin/process_test.go
@@ -70,6 +70,7 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
+	cl.logEnded()
 	cl.t.Fatalf("%s did not listen on %s", name, addr)
 	return nil
 }
@@ -107,6 +108,16 @@
 	return ports
 }
 
+// logEnded logs how processes have ended that should run.
+func (cl *cluster) logEnded() {
+	for name, p := range cl.procs {
+		var status syscall.WaitStatus
+		if pid, err := syscall.Wait4(p.Process.Pid, &status, syscall.WNOHANG, nil); pid != 0 {
+			cl.t.Logf("%s has ended: exit code %d, signal %v, wait error %v", name, status.ExitStatus(), status.Signal(), err)
+		}
+	}
+}
+
 // timeline returns the path of a process's timeline file.
 func (cl *cluster) timeline(name string) string { return filepath.Join(cl.dir, name+".jsonl") }
 
