Flatten two conditions of the servers, and keep one wait in their tests

Found by reading the whole change against clients that do not behave; no behaviour changes. A condition within a condition (wire), a switch of which one case returned and the other went on (inbound), and the text of a refusal turned to bytes by hand. Two waits of the tests that differed in their condition are one, with the longer of their two bounds; tests no longer state what is the default. Their assertions are unchanged.

Looked at and left: the sums of a head's text in call and inbound, over types of their own; the two loops that wait for room, which close others by other rules.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -118,12 +119,11 @@
 		return
 	}
 	c.server.refused(why)
-	answer := why.answer()
 	until := time.Now().Add(refusalLinger)
 	if c.Conn.SetDeadline(until) != nil {
 		return
 	}
-	if _, err := c.Conn.Write([]byte(answer)); err != nil {
+	if _, err := io.WriteString(c.Conn, why.answer()); err != nil {
 		return
 	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
--- a/inbound/heads.go
+++ b/inbound/heads.go
@@ -71,11 +71,11 @@
 	}
 	h.used += n
 	c.cost += n
-	switch {
-	case whole: // its request is about to be served
+	if whole { // its request is about to be served
 		delete(h.unfinished, c)
 		return "", closed
-	case h.unfinished == nil:
+	}
+	if h.unfinished == nil {
 		h.unfinished = map[*conn]struct{}{}
 	}
 	h.unfinished[c] = struct{}{}
--- a/inbound/server_test.go
+++ b/inbound/server_test.go
@@ -26,7 +26,6 @@
 	if cfg.MaxConns == 0 {
 		cfg.MaxConns = enoughConns
 	}
-	cfg.UnusedTime = DefaultUnusedTime
 	s = NewServer(cfg)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -78,7 +77,7 @@
 func TestRequestOnConnectionClosedForAnotherDoesNotRun(t *testing.T) {
 	Convey("The handler ends without running it", t, func() {
 		var runs atomic.Int64
-		s := NewServer(Config{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }), MaxConns: 1, UnusedTime: DefaultUnusedTime})
+		s := NewServer(Config{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }), MaxConns: 1})
 		nc, other := net.Pipe()
 		defer other.Close()
 		c := &conn{Conn: nc, server: s, reading: true}
@@ -143,7 +142,7 @@
 			}
 		}
 		c.Close()
-		waitReleased(heads)
+		waitUsed(heads, none)
 		So(heads.Used(), ShouldEqual, 0)
 	})
 }
@@ -157,7 +156,7 @@
 		_, addr := serveTest(t, Config{Heads: heads})
 		for i := range 4 {
 			io.WriteString(dialTest(t, addr), strings.TrimSuffix(headOf(4<<10, 20), "\r\n"))
-			waitUsed(heads, int64(i+1)*headMemory/8)
+			waitUsed(heads, func(used int64) bool { return used >= int64(i+1)*headMemory/8 })
 		}
 		code, _ := answerTo(dialTest(t, addr), headOf(300, 30))
 		So(code, ShouldEqual, http.StatusOK)
@@ -170,26 +169,18 @@
 
 const headMemory = 160 << 10
 
-// waitUsed waits, within a bound, until some bytes are counted.
-func waitUsed(h *Heads, bytes int64) {
-	for range 100 {
-		if h.Used() >= bytes {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
-// waitReleased waits, within a bound, until nothing is counted.
-func waitReleased(h *Heads) {
+// waitUsed waits, within a bound, until the bytes that are counted are as wanted.
+func waitUsed(h *Heads, wanted func(used int64) bool) {
 	for range 200 {
-		if h.Used() == 0 {
+		if wanted(h.Used()) {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+func none(used int64) bool { return used == 0 }
+
 // Guards against a head that takes longer than the limit in force, and against telling
 // its client that the request must not be sent again.
 func TestSlowHeadEndsAtLimitInForce(t *testing.T) {
@@ -232,7 +223,7 @@
 		largest := headOf(16<<10, 8)
 		code, _ := answerTo(dialTest(t, addr), largest)
 		So(code, ShouldEqual, http.StatusOK)
-		waitReleased(heads) // its connection is idle a moment after the answer
+		waitUsed(heads, none) // its connection is idle a moment after the answer
 		io.WriteString(dialTest(t, addr), strings.Replace(headOf(4<<10, 20), "/", "/held", 1))
 		select {
 		case <-held:
--- a/wire/server.go
+++ b/wire/server.go
@@ -87,11 +87,9 @@
 		if err := dec.Decode(&f); err != nil {
 			return
 		}
-		if !known {
-			if s.recognize(nc) != nil {
-				f.release()
-				return
-			}
+		if !known && s.recognize(nc) != nil {
+			f.release()
+			return
 		}
 		switch f.Kind {
 		case KindPing:
