Take no part of an answer as the whole one after a reset beside its upload

What callers saw: an instance answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as the complete answer.

Cause: the system reports a reset to one call on the socket only. Uploads from 16 KB on are written beside the reading of the answer, and the library's client always does so. Where the write took the reset, the read saw an end of file next, which is the end of a body without length.

Now a connection to whoever answers remembers the error of a write, and a read that sees an end of file passes it on only if no write failed. While a write is in progress, the end of that write decides, since it has not said it yet; or the state of the socket, where the peer has ended its side only and reads on, or never does. A peer that closes the whole connection with nothing unread sends FIN first and a reset when more bytes come, so that state is looked at again 20 ms later.

Without the state of the socket, as on a connection that is no socket, the end of the write decides alone.

--- a/cmd/oatpin/grace_test.go
+++ b/cmd/oatpin/grace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os/exec"
@@ -154,8 +155,11 @@
 
 // post sends a request to the node of a VM and returns the status, 0 without an
 // answer.
-func (p sidecarPair) post(path, id string) int {
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.callers+path, nil)
+func (p sidecarPair) post(path, id string) int { return p.upload(path, id, nil) }
+
+// upload is post with a body.
+func (p sidecarPair) upload(path, id string, body io.Reader) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.callers+path, body)
 	if err != nil {
 		return 0
 	}
--- a/load/load.go
+++ b/load/load.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/oatpin/oatpin/answer"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
 )
@@ -60,7 +61,7 @@
 	}, Latency: hdrhistogram.New(1, 60_000_000, 3), CompletedPerSecond: make([]int64, int(cfg.Duration/time.Second)+1)}
 	client := cfg.Client
 	if client == nil {
-		client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+		client = answer.NewClient(&http.Transport{MaxIdleConnsPerHost: 1024})
 	}
 	var mu sync.Mutex // guards rep.Latency and rep.CompletedPerSecond
 	var wg sync.WaitGroup
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/oatpin/oatpin/answer"
 	"github.com/oatpin/oatpin/budget"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/filter"
@@ -114,7 +115,7 @@
 		n.log = log.Log
 	}
 	if n.client == nil {
-		n.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+		n.client = answer.NewClient(&http.Transport{MaxIdleConnsPerHost: 256})
 	}
 	n.stats = newStats(cfg.Settings.Instance)
 	n.peers = wire.NewPool(wire.PoolConfig{From: cfg.Settings.Instance, Log: n.log, OnVersion: func(p wire.Peer, v uint64) { n.onPeerVersion(p.Name, v) }, Dial: cfg.Dial})
--- a/target/target.go
+++ b/target/target.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/oatpin/oatpin/answer"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
 	"golang.org/x/net/netutil"
@@ -59,7 +60,7 @@
 	s := cfg.Graph.Services[cfg.Service]
 	t := &Target{cfg: cfg, service: s, slots: make(chan struct{}, s.Slots), started: time.Now(), client: cfg.Client, commits: map[call.Key]int{}}
 	if t.client == nil {
-		t.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+		t.client = answer.NewClient(&http.Transport{MaxIdleConnsPerHost: 256})
 	}
 	t.health.ttl = cfg.HealthLag
 	t.serviceTimePercent.Store(100)
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/oatpin/oatpin/answer"
 	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/memory"
 	"github.com/rotisserie/eris"
@@ -99,9 +100,10 @@
 
 	conn struct {
 		nc      net.Conn
-		in      *boundedReader
-		r       *bufio.Reader // of in
-		w       *bufio.Writer
+		strict  *answer.Conn   // over nc
+		in      *boundedReader // of strict
+		r       *bufio.Reader  // of in
+		w       *bufio.Writer  // to nc
 		opened  time.Time
 		expires time.Time // time after which it must not be used
 	}
@@ -214,8 +216,9 @@
 }
 
 func (p *Pool) newConn(nc net.Conn) *conn {
-	in := &boundedReader{r: nc, left: -1}
-	c := &conn{nc: nc, in: in, r: bufio.NewReader(in), w: bufio.NewWriter(nc), opened: time.Now()}
+	strict := answer.NewConn(nc)
+	in := &boundedReader{r: strict, left: -1}
+	c := &conn{nc: nc, strict: strict, in: in, r: bufio.NewReader(in), w: bufio.NewWriter(nc), opened: time.Now()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isFormer(c) {
