Count an answer that breaks off as unknown in the load tool and the target

Cause: both read the body of an answer and passed over the error, so a part of one that states its status and a longer length was taken as the whole: the load tool counted it as completed, and a target built it into its own answer. Ruled out elsewhere: the node, the pool and the store's client return the error.

--- a/load/load.go
+++ b/load/load.go
@@ -132,8 +132,8 @@
 	return status
 }
 
-// attempt makes one HTTP request. Transport errors and responses without a
-// status header count as Unknown.
+// attempt makes one HTTP request. Transport errors, responses that break off and those
+// without a status header count as Unknown.
 func attempt(ctx context.Context, client *http.Client, instance callgraph.Instance, ref callgraph.Ref, id string, key call.Key) call.Status {
 	url := "http://" + instance.HTTP + "/v1/call/" + ref.Service + "/" + ref.Operation
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
@@ -147,7 +147,9 @@
 		return call.Unknown
 	}
 	defer resp.Body.Close()
-	io.Copy(io.Discard, resp.Body)
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return call.Unknown
+	}
 	if status := call.Status(resp.Header.Get(call.HeaderStatus)); status != "" {
 		return status
 	}
--- a/target/target.go
+++ b/target/target.go
@@ -253,7 +253,10 @@
 		return []byte(err.Error()), call.Unknown, ""
 	}
 	defer resp.Body.Close()
-	body, _ := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return []byte(err.Error()), call.Unknown, ""
+	}
 	return body, call.Status(resp.Header.Get(call.HeaderStatus)), resp.Header.Get("Retry-After")
 }
 
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/oatpin/oatpin/call"
 	"github.com/oatpin/oatpin/callgraph"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -65,3 +66,19 @@
 		resp.Body.Close()
 	})
 }
+
+// Guards against a part of a dependency's answer that is taken as the whole one.
+func TestDependencyAnswerThatBreaksOffIsUnknown(t *testing.T) {
+	Convey("The node's answer is shorter than it states", t, func() {
+		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(call.HeaderStatus, string(call.OK))
+			w.Header().Set("Content-Length", "12")
+			w.Write([]byte("short"))
+		}))
+		defer node.Close()
+		tg := newTestTarget(1, 0)
+		tg.cfg.NodeURL = node.URL
+		_, status, _ := tg.callDependency(t.Context(), http.Header{}, callgraph.Ref{Service: "archiv", Operation: "store"}, call.Request{ID: "r1"}, 0)
+		So(status, ShouldEqual, call.Unknown)
+	})
+}
