Take no status outside HTTP/1 as an answer, nor as an interim one

What callers saw: an instance in trouble sent a head with the status 000 and then another answer, and they got that other answer as the first one; with 600 and 999 they got the status as it was sent. By itself, 000 ended in 502 before.

Cause: the library takes any three characters that read as a number as a status ("+20", "099"), and any version. A status below 200 was an interim answer, also 101, which ends an exchange in HTTP and answers a request that nobody sends. At the node of `oatpin node` such an answer counted as failed, or as not run if it said so, or as ok with HTTP/2.0.

What fails has an unknown outcome: 502, and one more try for a read. 600 to 999 are no status in HTTP ("outside the range 100..599 are invalid"), and a client is to treat them as a server's error; 502 says that and promises nothing.

Rare statuses of HTTP (299, 599) and a missing reason are still answers.

Kept where it was handled: 000 by itself, "20", "2000", "2x0".

--- /dev/null
+++ b/answer/head.go
@@ -0,0 +1,31 @@
+package answer
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// ErrMalformed means that the head of an answer is none of HTTP/1.
+var ErrMalformed = eris.New("malformed answer")
+
+// CheckHead returns an error that wraps ErrMalformed if resp, as the library has read it,
+// has a status or version that is none of HTTP/1. The library takes any number of three
+// characters as a status, and any version. Status 101 answers a request to switch
+// protocols, and no such request is sent.
+func CheckHead(resp *http.Response) error {
+	code := resp.StatusCode
+	if resp.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %s", ErrMalformed, resp.Proto)
+	}
+	if code < minStatus || code > maxStatus || code == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: status %q", ErrMalformed, resp.Status)
+	}
+	return nil
+}
--- a/node/cut_answer_test.go
+++ b/node/cut_answer_test.go
@@ -21,22 +21,9 @@
 		"HTTP/1.1 503 Service Unavailable\r\n" + call.HeaderStatus + ": not_run\r\nContent-Length: 4\r\n\r\nfull",
 	} {
 		Convey(answer[:12], t, func() {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			So(err, ShouldBeNil)
-			defer l.Close()
 			var cut atomic.Int64
-			go func() {
-				for {
-					nc, err := l.Accept()
-					if err != nil {
-						return
-					}
-					http.ReadRequest(bufio.NewReader(nc))
-					io.WriteString(nc, answer[:cut.Load()])
-					nc.Close()
-				}
-			}()
-			base := startNode(t, fakeGraph(t, "idempotent = false", startFakePeer(t, disconnect)), "back-1", "http://"+l.Addr().String())
+			target := startAnswering(t, func() string { return answer[:cut.Load()] })
+			base := startNode(t, fakeGraph(t, "idempotent = false", startFakePeer(t, disconnect)), "back-1", target)
 			for i := range len(answer) {
 				cut.Store(int64(i))
 				if st := callOp(t, base, "back", "op"); st != call.Unknown {
@@ -46,3 +33,43 @@
 		})
 	}
 }
+
+// Guards against an answer of the local target whose head is none of the protocol.
+func TestMalformedAnswerOfTargetIsUnknown(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/1.1 000 Trouble\r\n" + call.HeaderStatus + ": not_run\r\nContent-Length: 4\r\n\r\nfull",
+		"HTTP/1.1 099 Trouble\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 600 Trouble\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+	} {
+		Convey(answer, t, func() {
+			target := startAnswering(t, func() string { return answer })
+			base := startNode(t, fakeGraph(t, "idempotent = false", startFakePeer(t, disconnect)), "back-1", target)
+			So(callOp(t, base, "back", "op"), ShouldEqual, call.Unknown)
+		})
+	}
+}
+
+// startAnswering starts a target that gives each request the bytes that answer returns,
+// and closes. It returns the URL.
+func startAnswering(t *testing.T, answer func() string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			http.ReadRequest(bufio.NewReader(nc))
+			io.WriteString(nc, answer())
+			nc.Close()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
--- a/sidecar/cut_answer_test.go
+++ b/sidecar/cut_answer_test.go
@@ -27,24 +27,46 @@
 // be repeated.
 func TestCutAnswerIsNeitherSuccessNorRefusal(t *testing.T) {
 	for _, answer := range cutAnswers {
-		Convey(strings.NewReplacer("\r", `\r`, "\n", `\n`).Replace(answer), t, func() {
-			var read atomic.Int64
-			m := &mesh{t: t, port: freePort(t)}
-			m.serve = func(l net.Listener, _ string) {
-				serveEach(l, func(c net.Conn) {
-					read.Add(1)
-					io.WriteString(c, answer)
-				})
-			}
-			m.populate([]string{"archiv", "archiv"})
-			_, got := m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
-			So(got.err, ShouldBeNil)
-			So(got.code, ShouldEqual, http.StatusBadGateway)
-			So(read.Load(), ShouldEqual, 1)
-			_, got = m.get(m.vms[0], "/read/x")
-			So(got.err, ShouldBeNil)
-			So(got.code, ShouldEqual, http.StatusBadGateway)
-			So(read.Load(), ShouldEqual, 3) // repeated once, at the other instance
-		})
+		checkBadGateway(t, answer)
 	}
 }
+
+// malformedAnswers are answers whose head is none.
+var malformedAnswers = []string{
+	"HTTP/1.1 000 Trouble\r\nSignature: s\r\nContent-Length: 2\r\n\r\nno",
+	"HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwhole",
+	"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwhole",
+	"HTTP/1.1 999 Trouble\r\nSignature: s\r\nContent-Length: 2\r\n\r\nno",
+	"HTTP/1.1 000 Trouble\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull",
+}
+
+// Guards against the same with an answer whose head is none of the protocol.
+func TestMalformedAnswerIsNeitherSuccessNorRefusal(t *testing.T) {
+	for _, answer := range malformedAnswers {
+		checkBadGateway(t, answer)
+	}
+}
+
+// checkBadGateway checks that callers of instances which all give an answer get 502, for
+// an action that runs once and a read that is repeated once.
+func checkBadGateway(t *testing.T, answer string) {
+	Convey(strings.NewReplacer("\r", `\r`, "\n", `\n`).Replace(answer), t, func() {
+		var read atomic.Int64
+		m := &mesh{t: t, port: freePort(t)}
+		m.serve = func(l net.Listener, _ string) {
+			serveEach(l, func(c net.Conn) {
+				read.Add(1)
+				io.WriteString(c, answer)
+			})
+		}
+		m.populate([]string{"archiv", "archiv"})
+		_, got := m.send(context.Background(), m.vms[0], http.MethodPost, "/publish/x", "n", nil)
+		So(got.err, ShouldBeNil)
+		So(got.code, ShouldEqual, http.StatusBadGateway)
+		So(read.Load(), ShouldEqual, 1)
+		_, got = m.get(m.vms[0], "/read/x")
+		So(got.err, ShouldBeNil)
+		So(got.code, ShouldEqual, http.StatusBadGateway)
+		So(read.Load(), ShouldEqual, 3)
+	})
+}
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/oatpin/oatpin/answer"
 	"github.com/oatpin/oatpin/memory"
 	"github.com/rotisserie/eris"
 )
@@ -101,8 +102,8 @@
 }
 
 // readResponse returns the response to r. It skips responses with another
-// request ID, such as a duplicate response to an earlier request. A head with two IDs
-// is an error: it is that of a response that broke off, continued by the head of
+// request ID, such as a duplicate response to an earlier request. A malformed head is an
+// error, also of a response that would be skipped. A head with two IDs is another: it is that of a response that broke off, continued by the head of
 // another one, whose body follows.
 func (p *Pool) readResponse(c *conn, r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
@@ -114,6 +115,9 @@
 		if err != nil {
 			return nil, c.in.explain(err)
 		}
+		if err := answer.CheckHead(resp); err != nil {
+			return nil, err
+		}
 		ids := resp.Header.Values(p.cfg.Headers.RequestID)
 		id := resp.Header.Get(p.cfg.Headers.RequestID)
 		switch {
--- /dev/null
+++ b/targetconn/head_test.go
@@ -0,0 +1,46 @@
+package targetconn
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a head whose status is none in the protocol and that is passed on as an
+// answer, or skipped as an interim one.
+func TestHeadWithoutStatusOfProtocolIsErrNoAnswer(t *testing.T) {
+	const fields = "\r\nRequest-Id: r1\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwhole"
+	for _, line := range []string{"HTTP/1.1 000", "HTTP/1.1 000 Trouble", "HTTP/1.1 099 Low", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
+		"HTTP/1.1 2x0 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 High", "HTTP/1.1 999 High", "HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1.1 \x00\x00\x00 OK"} {
+		for _, after := range []struct{ name, answer string }{
+			{"by itself", ""},
+			{"before an answer", response("r1", "whole")},
+		} {
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				Convey(strconv.Quote(line)+" "+after.name+", "+method, t, func() {
+					for _, head := range []string{line + fields, line + "\r\nRequest-Id: r1\r\n\r\n", line + "\r\n\r\n"} {
+						r := request("r1")
+						r.Method = method
+						_, err := sendsOnce(head+after.answer).Do(t.Context(), r)
+						So(errors.Is(err, ErrNoAnswer), ShouldBeTrue)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against an answer that is refused for a rare status of the protocol.
+func TestHeadWithStatusOfProtocolIsAnswer(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 299 Odd", "HTTP/1.1 599 Odd", "HTTP/1.1 418 \xe9"} {
+		Convey(strconv.Quote(line), t, func() {
+			a, err := sendsOnce(strings.Replace(response("r1", "whole"), "HTTP/1.1 200 OK", line, 1)).Do(t.Context(), request("r1"))
+			So(err, ShouldBeNil)
+			So(string(a.Body), ShouldEqual, "whole")
+		})
+	}
+}
