Take no answer whose head has a field name with a blank

What callers saw: an instance in trouble sent an answer in whose head the name of a field held a blank, and they got it as an answer: without that line, or with a body that was not the instance's.

Cause: of the characters that are none in a field's name, the library lets the blank through ("Content-Length : 5", "X Trouble: 1"), keeps the field under that name and does not recognize it. A length is then ignored, and the body is all that follows to the end of the connection; an encoding is ignored, and the framing of chunks is the body; an ID is ignored, and an answer to another request is taken for one without ID.

Such a head is none now (answer.CheckHead): at the pool, where heads of interim answers and of answers to other requests are checked as well, and in the clients of node, target, load tool and store. HTTP lets a proxy remove a blank before the colon; that would help none of the names with a blank within, and an instance whose head is broken is not one to be read in two ways.

Kept where it was handled: control bytes, a tab, no byte or one over 127 in a name, and control bytes in a value, end in an error of the library. Folded lines, bare line feeds and unusual names that are names are still answers.

--- a/answer/head.go
+++ b/answer/head.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/rotisserie/eris"
 )
@@ -16,9 +17,11 @@
 var ErrMalformed = eris.New("malformed answer")
 
 // CheckHead returns an error that wraps ErrMalformed if resp, as the library has read it,
-// has a status or version that is none of HTTP/1. The library takes any number of three
-// characters as a status, and any version. Status 101 answers a request to switch
-// protocols, and no such request is sent.
+// has a version, status or field name that is none of HTTP/1. The library takes any
+// number of three characters as a status, and any version. Status 101 answers a request
+// to switch protocols, and no such request is sent. Of invalid field names the library
+// takes those with a blank and does not recognize the field: a length or an encoding of
+// the body is ignored.
 func CheckHead(resp *http.Response) error {
 	code := resp.StatusCode
 	if resp.ProtoMajor != 1 {
@@ -27,5 +30,10 @@
 	if code < minStatus || code > maxStatus || code == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status %q", ErrMalformed, resp.Status)
 	}
+	for name := range resp.Header {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+		}
+	}
 	return nil
 }
--- a/node/cut_answer_test.go
+++ b/node/cut_answer_test.go
@@ -43,6 +43,10 @@
 		"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
 		"HTTP/1.1 600 Trouble\r\nContent-Length: 2\r\n\r\nno",
 		"HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nX Trouble: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nwholeand more",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX\x7fTrouble: 1\r\nContent-Length: 5\r\n\r\nwhole",
 	} {
 		Convey(answer, t, func() {
 			target := startAnswering(t, func() string { return answer })
--- a/sidecar/cut_answer_test.go
+++ b/sidecar/cut_answer_test.go
@@ -38,6 +38,13 @@
 	"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwhole",
 	"HTTP/1.1 999 Trouble\r\nSignature: s\r\nContent-Length: 2\r\n\r\nno",
 	"HTTP/1.1 000 Trouble\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull",
+	"HTTP/1.1 200 OK\r\nSignature: s\r\nX Trouble: 1\r\nContent-Length: 5\r\n\r\nwhole",
+	"HTTP/1.1 200 OK\r\nSignature: s\r\nX\x01Trouble: 1\r\nContent-Length: 5\r\n\r\nwhole",
+	"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length : 5\r\n\r\nwholeand more",
+	"HTTP/1.1 200 OK\r\nSignature: s\r\nContent Length: 5\r\n\r\nwholeand more",
+	"HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nRequest-Id : other\r\nSignature: s\r\nContent-Length: 5\r\n\r\nother",
+	"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nX Trouble: 1\r\nContent-Length: 4\r\n\r\nfull",
 }
 
 // Guards against the same with an answer whose head is none of the protocol.
--- a/targetconn/head_test.go
+++ b/targetconn/head_test.go
@@ -44,3 +44,45 @@
 		})
 	}
 }
+
+// Guards against a head in which a field's name is none, so that the library does not
+// recognize the field: callers would get an answer without it, or with a body that is not
+// the target's. Values with control bytes are refused by the library.
+func TestHeadWithFieldNameThatIsNoneIsErrNoAnswer(t *testing.T) {
+	names := []string{"Content Length", "Content-Length ", "Content-Length\t", "Content\x00Length", "Content\x7fLength", "Content\x1bLength", "Content\xe9Length", "Content\rLength", "(Length)",
+		"X Trouble", "X\x01Trouble", "Request-Id ", "Transfer Encoding", "\x0bX", ""}
+	for _, name := range names {
+		Convey(strconv.Quote(name), t, func() {
+			for _, answer := range []string{
+				"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n" + name + ": 5\r\n\r\nwhole",
+				"HTTP/1.1 200 OK\r\n" + name + ": 5\r\nRequest-Id: r1\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwhole",
+				"HTTP/1.1 103 Early Hints\r\n" + name + ": 5\r\n\r\n" + response("r1", "whole"),
+				"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n" + name + ": 5\r\nContent-Length: 3\r\n\r\nold" + response("r1", "whole"),
+			} {
+				_, err := sendsOnce(answer).Do(t.Context(), request("r1"))
+				So(errors.Is(err, ErrNoAnswer), ShouldBeTrue)
+			}
+		})
+	}
+	for _, value := range []string{"a\x00b", "a\x1bb", "a\x7fb", "a\rb"} {
+		Convey("The value "+strconv.Quote(value), t, func() {
+			_, err := sendsOnce("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX: "+value+"\r\nContent-Length: 5\r\n\r\nwhole").Do(t.Context(), request("r1"))
+			So(errors.Is(err, ErrNoAnswer), ShouldBeTrue)
+		})
+	}
+	Convey("Chunks without their framing", t, func() {
+		_, err := sendsOnce("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n").Do(t.Context(), request("r1"))
+		So(errors.Is(err, ErrNoAnswer), ShouldBeTrue)
+	})
+}
+
+// Guards against an answer that is refused for an unusual field.
+func TestHeadWithUnusualFieldsIsAnswer(t *testing.T) {
+	for _, field := range []string{"x-lower: y", "X_Y: z", "X!#$%&'*+-.^`|~9: y", "X:y", "X:", "X: \t y \t", "X: a\r\n b", "X: a b", "X: \xe9", "X: y\r\nX: z"} {
+		Convey(strconv.Quote(field), t, func() {
+			a, err := sendsOnce("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"+field+"\r\nContent-Length: 5\r\n\r\nwhole").Do(t.Context(), request("r1"))
+			So(err, ShouldBeNil)
+			So(string(a.Body), ShouldEqual, "whole")
+		})
+	}
+}
