--- a/answer/client_test.go
+++ b/answer/client_test.go
@@ -1,7 +1,6 @@
 package answer
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -9,34 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/oatpin/oatpin/answertest"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// startServer listens, reads the head of one request on each connection and calls answer.
-// It returns the URL.
-func startServer(t *testing.T, answer func(c *net.TCPConn)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					answer(c.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
-
 // countWhole sends uploads of 8 MB and returns how many answers were read whole.
 func countWhole(t *testing.T, c *http.Client, url string, uploads int) int {
 	body, whole := make([]byte, 8<<20), 0
@@ -60,14 +35,14 @@
 func TestClientReportsResetBesideUpload(t *testing.T) {
 	const uploads = 100
 	Convey("The server resets the connection", t, func() {
-		url := startServer(t, func(c *net.TCPConn) {
+		url := "http://" + answertest.Serve(t, func(c *net.TCPConn) {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
 			c.SetLinger(0)
 		})
 		So(countWhole(t, NewClient(&http.Transport{}), url, uploads), ShouldEqual, 0)
 	})
 	Convey("It resets it some time later", t, func() {
-		url := startServer(t, func(c *net.TCPConn) {
+		url := "http://" + answertest.Serve(t, func(c *net.TCPConn) {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
 			time.Sleep(20 * time.Millisecond)
 			c.SetLinger(0)
@@ -80,7 +55,7 @@
 func TestClientReadsSoundAnswerBesideUpload(t *testing.T) {
 	const uploads = 20
 	Convey("The server half closes the connection and reads on", t, func() {
-		url := startServer(t, func(c *net.TCPConn) {
+		url := "http://" + answertest.Serve(t, func(c *net.TCPConn) {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
 			c.CloseWrite()
 			io.Copy(io.Discard, c)
--- a/answer/conn_test.go
+++ b/answer/conn_test.go
@@ -82,17 +82,15 @@
 	Convey("The peer has read all there was when it closed", t, func() {
 		nc, far := connect(t)
 		c := NewConn(nc)
-		writing, closed := make(chan struct{}), make(chan struct{})
+		io.WriteString(far, "part")
+		far.Close()
+		writing := make(chan struct{})
 		go c.Writing(func() error {
+			_, err := nc.Write([]byte("more"))
 			close(writing)
-			<-closed
-			time.Sleep(resetDelay / 4)
-			return writeUntilError(nc)
+			return errors.Join(err, writeUntilError(nc))
 		})
 		<-writing
-		io.WriteString(far, "part")
-		far.Close()
-		close(closed)
 		_, err := io.ReadAll(c)
 		So(err, ShouldNotBeNil)
 	})
@@ -103,13 +101,16 @@
 	Convey("The peer reads nothing more", t, func() {
 		nc, far := connect(t)
 		c := NewConn(nc)
-		go writeUntilError(c)
+		go c.Writing(func() error { return writeUntilError(nc) })
 		io.ReadFull(far, make([]byte, 100<<10))
 		io.WriteString(far, "whole")
 		far.CloseWrite()
 		nc.SetReadDeadline(time.Now().Add(5 * time.Second))
+		began := time.Now()
 		got, err := io.ReadAll(c)
 		So(err, ShouldBeNil)
 		So(string(got), ShouldEqual, "whole")
+		// Until then the end may turn out to be a reset.
+		So(time.Since(began), ShouldBeGreaterThanOrEqualTo, resetDelay)
 	})
 }
--- /dev/null
+++ b/answertest/doc.go
@@ -0,0 +1,2 @@
+// Package answertest runs servers for tests that answer with any bytes.
+package answertest
--- a/node/cut_answer_test.go
+++ b/node/cut_answer_test.go
@@ -1,13 +1,12 @@
 package node_test
 
 import (
-	"bufio"
 	"io"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"testing"
 
+	"github.com/oatpin/oatpin/answertest"
 	"github.com/oatpin/oatpin/call"
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -22,8 +21,8 @@
 	} {
 		Convey(answer[:12], t, func() {
 			var cut atomic.Int64
-			target := startAnswering(t, func() string { return answer[:cut.Load()] })
-			base := startNode(t, fakeGraph(t, "idempotent = false", startFakePeer(t, disconnect)), "back-1", target)
+			target := answertest.Serve(t, func(c *net.TCPConn) { io.WriteString(c, answer[:cut.Load()]) })
+			base := startNode(t, fakeGraph(t, "idempotent = false", startFakePeer(t, disconnect)), "back-1", "http://"+target)
 			for i := range len(answer) {
 				cut.Store(int64(i))
 				if st := callOp(t, base, "back", "op"); st != call.Unknown {
@@ -49,31 +48,9 @@
 		"HTTP/1.1 200 OK\r\nX\x7fTrouble: 1\r\nContent-Length: 5\r\n\r\nwhole",
 	} {
 		Convey(answer, t, func() {
-			target := startAnswering(t, func() string { return answer })
-			base := startNode(t, fakeGraph(t, "idempotent = false", startFakePeer(t, disconnect)), "back-1", target)
+			target := answertest.Serve(t, func(c *net.TCPConn) { io.WriteString(c, answer) })
+			base := startNode(t, fakeGraph(t, "idempotent = false", startFakePeer(t, disconnect)), "back-1", "http://"+target)
 			So(callOp(t, base, "back", "op"), ShouldEqual, call.Unknown)
 		})
 	}
 }
-
-// startAnswering starts a target that gives each request the bytes that answer returns,
-// and closes. It returns the URL.
-func startAnswering(t *testing.T, answer func() string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			http.ReadRequest(bufio.NewReader(nc))
-			io.WriteString(nc, answer())
-			nc.Close()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
--- a/targetconn/reset_test.go
+++ b/targetconn/reset_test.go
@@ -37,8 +37,15 @@
 	c.Close()
 }
 
-// closeUnread closes c, which resets it if bytes have not been read.
-func closeUnread(c *net.TCPConn) { c.Close() }
+// closeUnread closes c while bytes of the upload are there and have not been read, which
+// resets it.
+func closeUnread(c *net.TCPConn) {
+	io.ReadFull(c, make([]byte, 1))
+	c.Close()
+}
+
+// closeRead closes c after all bytes have been read.
+func closeRead(c *net.TCPConn) { c.Close() }
 
 // halfClose ends the answer and reads the upload to its end.
 func halfClose(c *net.TCPConn) {
@@ -46,10 +53,10 @@
 	io.Copy(io.Discard, c)
 }
 
-// halfCloseUnread ends the answer and reads nothing more.
+// halfCloseUnread ends the answer, reads nothing more and closes c much later.
 func halfCloseUnread(c *net.TCPConn) {
 	c.CloseWrite()
-	time.Sleep(30 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
 	c.Close()
 }
 
@@ -104,7 +111,7 @@
 	for _, e := range []earlyAnswer{
 		{name: "the connection is half closed and the upload read", answer: headWithoutLength + "whole", end: halfClose},
 		{name: "the connection is half closed and the upload not read", answer: headWithoutLength + "whole", end: halfCloseUnread},
-		{name: "the connection is closed after the upload", read: uploadBytes, answer: headWithoutLength + "whole", end: closeUnread},
+		{name: "the connection is closed after the upload", read: uploadBytes, answer: headWithoutLength + "whole", end: closeRead},
 		{name: "a length, before the upload is read", answer: response("r1", "whole"), end: halfClose},
 		{name: "a length, then a reset", answer: response("r1", "whole"), wait: 20 * time.Millisecond, end: reset},
 	} {
