Remember a write's error for uploads only

A request that is written before its answer is read needs no memory of the write's error: it ends the exchange at once.

--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -30,15 +30,14 @@
 // roundTrip writes r and reads its answer; reuse is set if the connection can
 // carry another request.
 func (p *Pool) roundTrip(ctx context.Context, c *conn, r *Request) (a *Answer, reuse bool, err error) {
-	write := func() error { return c.strict.Writing(func() error { return c.write(r) }) }
 	written := make(chan error, 1)
 	if len(r.Body) < asyncBodySize {
-		if err := write(); err != nil {
+		if err := c.write(r); err != nil {
 			return nil, false, err
 		}
 		written <- nil
 	} else {
-		go func() { written <- write() }()
+		go func() { written <- c.strict.Writing(func() error { return c.write(r) }) }()
 	}
 	resp, err := p.readResponse(c, r)
 	if err != nil {
