--- a/cmd/oatpin/roles.go
+++ b/cmd/oatpin/roles.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/oatpin/oatpin/answer"
 	"github.com/oatpin/oatpin/callgraph"
 	"github.com/oatpin/oatpin/configservice"
 	"github.com/oatpin/oatpin/inbound"
@@ -146,7 +147,9 @@
 // fetchConfig fetches the current configuration from the configuration service
 // at base, its base URL.
 func fetchConfig(base string) (*callgraph.Graph, error) {
-	resp, err := http.Get(base + "/v1/config")
+	client := answer.NewClient(&http.Transport{})
+	defer client.CloseIdleConnections()
+	resp, err := client.Get(base + "/v1/config")
 	if err != nil {
 		return nil, eris.Wrap(err, "fetch configuration from platform")
 	}
