--- a/answer/head.go
+++ b/answer/head.go
@@ -13,15 +13,15 @@
 	maxStatus = 599
 )
 
-// ErrMalformed means that the head of an answer is none of HTTP/1.
+// ErrMalformed means that the head of an answer is invalid in HTTP/1.
 var ErrMalformed = eris.New("malformed answer")
 
 // CheckHead returns an error that wraps ErrMalformed if resp, as the library has read it,
-// has a version, status or field name that is none of HTTP/1. The library takes any
-// number of three characters as a status, and any version. Status 101 answers a request
-// to switch protocols, and no such request is sent. Of invalid field names the library
-// takes those with a blank and does not recognize the field: a length or an encoding of
-// the body is ignored.
+// has an invalid version, status or field name. The library takes any number of three
+// characters as a status, and any version. Status 101 answers a request to switch
+// protocols, and no such request is sent. Of invalid field names the library takes those
+// with a space and does not recognize the field: a length or an encoding of the body is
+// ignored.
 func CheckHead(resp *http.Response) error {
 	code := resp.StatusCode
 	if resp.ProtoMajor != 1 {
--- a/node/cut_answer_test.go
+++ b/node/cut_answer_test.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// Guards against an answer of the local target whose head is none of the protocol.
+// Guards against an answer of the local target whose head is invalid.
 func TestMalformedAnswerOfTargetIsUnknown(t *testing.T) {
 	for _, answer := range []string{
 		"HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nno",
--- a/sidecar/cut_answer_test.go
+++ b/sidecar/cut_answer_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// malformedAnswers are answers whose head is none.
+// malformedAnswers are answers whose head is invalid.
 var malformedAnswers = []string{
 	"HTTP/1.1 000 Trouble\r\nSignature: s\r\nContent-Length: 2\r\n\r\nno",
 	"HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwhole",
@@ -47,7 +47,7 @@
 	"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nX Trouble: 1\r\nContent-Length: 4\r\n\r\nfull",
 }
 
-// Guards against the same with an answer whose head is none of the protocol.
+// Guards against the same with an answer whose head is invalid.
 func TestMalformedAnswerIsNeitherSuccessNorRefusal(t *testing.T) {
 	for _, answer := range malformedAnswers {
 		checkBadGateway(t, answer)
--- a/sidecar/malformed_request_test.go
+++ b/sidecar/malformed_request_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against a request that reaches an instance without a field, or with another
-// body, because the name of a field is none.
+// body, because the name of a field is invalid.
 func TestRequestWithMalformedFieldNameIsRefused(t *testing.T) {
 	m := newMesh(t, "archiv")
 	for _, name := range []string{"X Trouble", "X\x01Trouble", "Content-Length ", "Content Length", "Transfer-Encoding "} {
--- a/targetconn/head.go
+++ b/targetconn/head.go
@@ -12,7 +12,7 @@
 
 const http10 = "HTTP/1.0"
 
-// readHead reads the head of the next answer. The caller must set the bound of c.in.
+// readHead reads the head of the next answer, which c.in must bound.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	version, _ := c.r.Peek(len(http10)) // an error comes again with the next read
 	if string(version) == http10 {
--- a/targetconn/head_test.go
+++ b/targetconn/head_test.go
@@ -10,9 +10,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// Guards against a head whose status is none in the protocol and that is passed on as an
-// answer, or skipped as an interim one.
-func TestHeadWithoutStatusOfProtocolIsErrNoAnswer(t *testing.T) {
+// Guards against a head with an invalid status that is passed on as an answer, or skipped
+// as an interim one.
+func TestInvalidStatusIsErrNoAnswer(t *testing.T) {
 	const fields = "\r\nRequest-Id: r1\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwhole"
 	for _, line := range []string{"HTTP/1.1 000", "HTTP/1.1 000 Trouble", "HTTP/1.1 099 Low", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
 		"HTTP/1.1 2x0 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 High", "HTTP/1.1 999 High", "HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1.1 \x00\x00\x00 OK"} {
@@ -34,8 +34,8 @@
 	}
 }
 
-// Guards against an answer that is refused for a rare status of the protocol.
-func TestHeadWithStatusOfProtocolIsAnswer(t *testing.T) {
+// Guards against an answer that is refused for a rare status.
+func TestRareStatusIsAnswer(t *testing.T) {
 	for _, line := range []string{"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 299 Odd", "HTTP/1.1 599 Odd", "HTTP/1.1 418 \xe9"} {
 		Convey(strconv.Quote(line), t, func() {
 			a, err := sendsOnce(strings.Replace(response("r1", "whole"), "HTTP/1.1 200 OK", line, 1)).Do(t.Context(), request("r1"))
@@ -45,10 +45,10 @@
 	}
 }
 
-// Guards against a head in which a field's name is none, so that the library does not
-// recognize the field: callers would get an answer without it, or with a body that is not
-// the target's. Values with control bytes are refused by the library.
-func TestHeadWithFieldNameThatIsNoneIsErrNoAnswer(t *testing.T) {
+// Guards against an invalid field name, by which the library does not recognize the field:
+// callers would get an answer without it, or with a body that is not the target's. Values
+// with control bytes are refused by the library.
+func TestInvalidFieldNameIsErrNoAnswer(t *testing.T) {
 	names := []string{"Content Length", "Content-Length ", "Content-Length\t", "Content\x00Length", "Content\x7fLength", "Content\x1bLength", "Content\xe9Length", "Content\rLength", "(Length)",
 		"X Trouble", "X\x01Trouble", "Request-Id ", "Transfer Encoding", "\x0bX", ""}
 	for _, name := range names {
@@ -77,7 +77,7 @@
 }
 
 // Guards against an answer that is refused for an unusual field.
-func TestHeadWithUnusualFieldsIsAnswer(t *testing.T) {
+func TestUnusualFieldIsAnswer(t *testing.T) {
 	for _, field := range []string{"x-lower: y", "X_Y: z", "X!#$%&'*+-.^`|~9: y", "X:y", "X:", "X: \t y \t", "X: a\r\n b", "X: a b", "X: \xe9", "X: y\r\nX: z"} {
 		Convey(strconv.Quote(field), t, func() {
 			a, err := sendsOnce("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"+field+"\r\nContent-Length: 5\r\n\r\nwhole").Do(t.Context(), request("r1"))
@@ -89,7 +89,7 @@
 
 // Guards against the framing of chunks as the body: HTTP/1.0 knows no chunks, and the
 // library ignores a statement of them in its heads.
-func TestHeadOfHTTP10WithChunksIsErrNoAnswer(t *testing.T) {
+func TestChunksInHTTP10AreErrNoAnswer(t *testing.T) {
 	const answer = "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
 	for _, sent := range []string{
 		answer,
@@ -107,7 +107,7 @@
 }
 
 // Guards against an answer of HTTP/1.0 that is refused for something else.
-func TestHeadOfHTTP10IsAnswer(t *testing.T) {
+func TestHTTP10IsAnswer(t *testing.T) {
 	const head = "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\nX: Transfer-Encoding: chunked\r\n"
 	large := strings.Repeat("X: "+strings.Repeat("y", 1000)+"\r\n", 100)
 	for _, sent := range []string{
