Deliver a late delta in the model to the run that asked for it only

Trace of the sequence: 10.2.0.1 is killed while it holds version 1. "hear" asks for it all the same, by the position it had, so the delta leaves the routes out; the delta is late by 13 ticks. The node is started 8 ticks later, holds nothing, and is given that delta: it has a list and no routes.

That can't happen: a delta is the answer to a call on a connection of the process that asked, and a process that has ended has none. The model gave it to whatever run of the node was there. Late and repeated deltas for the run that asked are delivered as before; checks, bounds and draws are unchanged.

Not a fault of the product, so no change there.

--- a/replication/model_test.go
+++ b/replication/model_test.go
@@ -31,9 +31,11 @@
 	delayed       []delayedDelta
 }
 
-// delayedDelta is a delta that is delivered to a node out of order.
+// delayedDelta is a delta that is delivered out of order to the run of a node that asked
+// for it. One that has ended gets no answer, nor does the next.
 type delayedDelta struct {
 	node  *node
+	asked *directory.Directory // of that run
 	delta directory.Delta
 	at    time.Time
 }
@@ -55,7 +57,7 @@
 	x := asFormer(from.dir.Since(to.dir.Position()), to, from, to.dir.Revision())
 	for range rapid.IntRange(1, 2).Draw(t, "times") {
 		after := time.Duration(rapid.IntRange(0, 50).Draw(t, "late")) * checkInterval
-		m.delayed = append(m.delayed, delayedDelta{to, x, time.Now().Add(after)})
+		m.delayed = append(m.delayed, delayedDelta{to, to.dir, x, time.Now().Add(after)})
 	}
 }
 
@@ -66,8 +68,8 @@
 		for _, l := range m.delayed {
 			if time.Now().Before(l.at) {
 				kept = append(kept, l)
-			} else if l.node.alive {
-				l.node.dir.ApplyDelta(l.delta)
+			} else if l.node.alive && l.node.dir == l.asked {
+				l.asked.ApplyDelta(l.delta)
 			}
 		}
 		m.delayed = kept
