Bound the reason of a failed answer that quotes its head

What callers saw: a 502 whose text is what the instance sent. A head with one invalid field name of 100 KB gave 102,467 bytes of reason, and at `oatpin node` a header of 102,478; the same went to other nodes and into log lines.

Ruled out: errors of the connection and of the bounds, which quote nothing of the target's.

--- a/node/cut_answer_test.go
+++ b/node/cut_answer_test.go
@@ -3,6 +3,9 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -54,3 +57,25 @@
 		})
 	}
 }
+
+// Guards against a head of any size that is quoted in the reason of an answer, and with it
+// in a header of the response.
+func TestMalformedAnswerOfTargetIsNotQuotedWhole(t *testing.T) {
+	const maxReasonBytes = 1 << 10
+	long := strings.Repeat("y", 100<<10)
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nX " + long + ": 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX\x01" + long + ": 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + long[:3000] + "\r\n",
+	} {
+		Convey(strconv.Quote(answer[:30]), t, func() {
+			target := answertest.Serve(t, func(c *net.TCPConn) { io.WriteString(c, answer) })
+			base := startNode(t, fakeGraph(t, "idempotent = false", startFakePeer(t, disconnect)), "back-1", "http://"+target)
+			resp, err := http.Post(base+"/v1/call/back/op", "", nil)
+			So(err, ShouldBeNil)
+			resp.Body.Close()
+			So(resp.Header.Get(call.HeaderStatus), ShouldEqual, string(call.Unknown))
+			So(len(resp.Header.Get(call.HeaderReason)), ShouldBeLessThan, maxReasonBytes)
+		})
+	}
+}
--- a/node/inbound.go
+++ b/node/inbound.go
@@ -70,12 +70,12 @@
 		if isDialError(err) {
 			return call.Refuse(*r, "target unreachable", filter.MinRetryAfter)
 		}
-		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: "target: " + err.Error()}
+		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: call.Shorten("target: " + err.Error())}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: "target answer cut: " + err.Error()}
+		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: call.Shorten("target answer cut: " + err.Error())}
 	}
 	a := call.Answer{ID: r.ID, Body: body}
 	switch {
--- a/sidecar/cut_answer_test.go
+++ b/sidecar/cut_answer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -54,6 +55,29 @@
 	}
 }
 
+// Guards against a head of any size that callers get quoted in the reason of a failure.
+func TestMalformedAnswerIsNotQuotedWhole(t *testing.T) {
+	const maxReasonBytes = 1 << 10
+	long := strings.Repeat("y", 100<<10)
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nX " + long + ": 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX\x01" + long + ": 1\r\n\r\n",
+		"HTTP/1.1 600 " + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: " + long + "\r\n\r\n",
+	} {
+		Convey(strconv.Quote(answer[:30]), t, func() {
+			m := &mesh{t: t, port: freePort(t)}
+			m.serve = func(l net.Listener, _ string) {
+				serveEach(l, func(c net.Conn) { io.WriteString(c, answer) })
+			}
+			m.populate([]string{"archiv"})
+			_, got := m.get(m.vms[0], "/read/x")
+			So(got.code, ShouldEqual, http.StatusBadGateway)
+			So(len(got.body), ShouldBeLessThan, maxReasonBytes)
+		})
+	}
+}
+
 // checkBadGateway checks that callers of instances which all give an answer get 502, for
 // an action that runs once and a read that is repeated once.
 func checkBadGateway(t *testing.T, answer string) {
@@ -74,6 +98,6 @@
 		_, got = m.get(m.vms[0], "/read/x")
 		So(got.err, ShouldBeNil)
 		So(got.code, ShouldEqual, http.StatusBadGateway)
-		So(read.Load(), ShouldEqual, 3)
+		So(read.Load(), ShouldEqual, 3) // repeated once, at the other instance
 	})
 }
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -244,7 +244,7 @@
 		return call.Refuse(r, err.Error(), 0), by
 	case err != nil:
 		n.recordOverBound(r, err)
-		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: err.Error(), ReachedTarget: true, InstanceExit: n.targetExitDuring(ctx, &r, began)}, by
+		return call.Answer{ID: r.ID, Status: call.Unknown, Reason: call.Shorten(err.Error()), ReachedTarget: true, InstanceExit: n.targetExitDuring(ctx, &r, began)}, by
 	}
 	a := n.classifyAnswer(r, resp)
 	if a.Held == nil {
